--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Every habitual task of the project; `make help` lists them.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/fescuequay-core packages/fescuequay-entry packages/fescuequay-ctl packages/fescuequay-standins
+SOURCES := packages features spec lab
+
+.PHONY: help setup run test lint format prove prove-mutants measure capacity clean
+
+help:  ## list the tasks
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+$(VENV)/.ready: requirements.txt $(PACKAGES:=/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+setup: $(VENV)/.ready  ## make the virtual environment with pinned libraries
+
+run: setup  ## start a small fleet on embedded stand-ins; Ctrl-C ends it
+	$(BIN)/python -m fescuequay_standins.demo --text examples/cordillera.jsonc
+
+test: setup lint  ## lint, then every check that CI runs
+	$(BIN)/behave --no-color --format progress features
+
+lint: setup  ## formatter, linters, types and the package boundary
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: setup  ## rewrite the sources in the agreed format
+	$(BIN)/ruff format $(SOURCES)
+
+prove: setup  ## check the specification
+	$(BIN)/python spec/prove.py
+
+prove-mutants: setup  ## remove each guard and print the counterexample
+	$(BIN)/python spec/prove.py --mutants
+
+measure: setup  ## run the two workloads on stand-ins and print the table
+	$(BIN)/python lab/measure.py
+
+capacity: setup  ## print the tables of docs/CAPACITY.md from measured slopes
+	$(BIN)/python lab/capacity.py
+
+clean:  ## remove the virtual environment and caches
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a fescuequay instance, without input or output."""
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/acks.py
@@ -0,0 +1,134 @@
+"""Writes that ran and wait for the evidence under which they may be acknowledged."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from fescuequay_core.blackboard import Blackboard, Pending
+from fescuequay_core.requests import Outcome, TargetStatus
+from fescuequay_core.types import Acknowledge, Instant, LeaderState, Position, Role, TargetId, Verdict
+
+
+@dataclasses.dataclass(slots=True)
+class Unconfirmed:
+    """One write that its target has carried out.
+
+    :param pending: The request.
+    :param outcome: What the target answered.
+    :param ended_at: When the answer arrived; only later statuses count.
+    :param until: When the wait for evidence ends.
+    :param position: Position at or after the write, once known.
+    """
+
+    pending: Pending
+    outcome: Outcome
+    ended_at: Instant
+    until: Instant
+    position: Position | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """One write whose wait is over.
+
+    :param write: The write.
+    :param verdict: ``RAN`` when it may be acknowledged, else ``MAY_HAVE_RUN``.
+    """
+
+    write: Unconfirmed
+    verdict: Verdict
+
+
+class AckBook:
+    """Holds writes until the target's own status, asked after the write, confirms them.
+
+    The status must show the primary of the very term that the write was sent in. With majority
+    acknowledgement it must also show that a majority holds the write, so a fence of any majority
+    keeps it. Otherwise the permit of the leader record must still run. A write that was caught by a
+    failover counts if the new term begins at or after it.
+
+    :param board: The blackboard.
+    """
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        self._writes_by_target: dict[TargetId, list[Unconfirmed]] = {}
+
+    def add(self, pending: Pending, outcome: Outcome, now: Instant) -> None:
+        """Begin to wait.
+
+        :param pending: The request; it has a target and a term.
+        :param outcome: What the target answered.
+        :param now: Present time.
+        """
+        service = self._board.service_of(pending.group)
+        bound_s = service.acknowledge_within_ms / 1000 if service else 0.0
+        until = min(max(pending.request.deadline, now), now + bound_s)
+        if pending.target is not None:
+            write = Unconfirmed(pending, outcome, now, until)
+            self._writes_by_target.setdefault(pending.target, []).append(write)
+
+    def targets(self) -> Iterator[TargetId]:
+        """:returns: Targets whose status is awaited."""
+        return (target for target, writes in self._writes_by_target.items() if writes)
+
+    def on_status(self, target: TargetId, status: TargetStatus, started_at: Instant, now: Instant) -> Iterator[Settled]:
+        """Use a status as evidence.
+
+        :param target: Target that told it.
+        :param status: What it said.
+        :param started_at: When it was asked.
+        :param now: Present time.
+        :returns: Writes that may be acknowledged.
+        """
+        for write in tuple(self._writes_by_target.get(target, ())):
+            if started_at < write.ended_at or not _is_same_primary(write, status):
+                continue
+            if write.position is None:
+                write.position = status.position
+            if self._is_confirmed(write, status, now):
+                yield self._settle(target, write, Verdict.RAN)
+
+    def on_tick(self, now: Instant) -> Iterator[Settled]:
+        """End the waits that ran out or that a failover has decided.
+
+        :param now: Present time.
+        :returns: Writes whose wait is over.
+        """
+        for target, writes in tuple(self._writes_by_target.items()):
+            for write in tuple(writes):
+                verdict = self._verdict_of_failover(write)
+                if verdict is not None:
+                    yield self._settle(target, write, verdict)
+                elif now >= write.until:
+                    yield self._settle(target, write, Verdict.MAY_HAVE_RUN)
+
+    def _settle(self, target: TargetId, write: Unconfirmed, verdict: Verdict) -> Settled:
+        self._writes_by_target[target].remove(write)
+        return Settled(write, verdict)
+
+    def _is_confirmed(self, write: Unconfirmed, status: TargetStatus, now: Instant) -> bool:
+        service = self._board.service_of(write.pending.group)
+        if service is None or write.position is None or status.fence > status.term:
+            return False
+        # A text that is not the one in force may name a weaker rule; the stronger one always holds.
+        applied = self._board.record.text
+        is_current = applied is not None and applied.number == self._board.text_number
+        if service.acknowledge is Acknowledge.REPLICA or not is_current:
+            return status.replicated >= write.position
+        leader = self._board.leader_of(write.pending.group)
+        is_leading = leader is not None and leader.state is LeaderState.LEADING and leader.term == write.pending.term
+        return is_leading and self._board.has_permit(now)
+
+    def _verdict_of_failover(self, write: Unconfirmed) -> Verdict | None:
+        leader = self._board.leader_of(write.pending.group)
+        term = write.pending.term
+        if leader is None or term is None or leader.term <= term:
+            return None
+        end = leader.end_of(term)
+        if write.position is not None and end is not None and write.position <= end:
+            return Verdict.RAN
+        return Verdict.MAY_HAVE_RUN
+
+
+def _is_same_primary(write: Unconfirmed, status: TargetStatus) -> bool:
+    return status.role is Role.PRIMARY and status.term == write.pending.term
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/admission.py
@@ -0,0 +1,412 @@
+"""Carries each request from its arrival to its one final answer."""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from fescuequay_core import tokens, verdicts
+from fescuequay_core.access import Gatekeeper, Grant, refuse
+from fescuequay_core.acks import AckBook, Settled
+from fescuequay_core.billing import Billing
+from fescuequay_core.blackboard import Blackboard, Pending
+from fescuequay_core.commands import Command, Execute, Forward, Incident, Reply
+from fescuequay_core.controller import Controller, Handler
+from fescuequay_core.events import Event, ExecutionEnded, ForwardEnded, PeerHeard, RequestArrived, TargetSeen, Tick
+from fescuequay_core.fleetwatch import FleetController
+from fescuequay_core.forwarding import Forwarder
+from fescuequay_core.lanes import FairLane
+from fescuequay_core.limits import Admission, LimitController
+from fescuequay_core.membership import MembershipController
+from fescuequay_core.messages import LoanAnswer
+from fescuequay_core.requests import Answer, Outcome, Request
+from fescuequay_core.routing import RETRY_SOON_S, Dispatch, Refuse, Router, Wait
+from fescuequay_core.targets import TargetController
+from fescuequay_core.tokens import Mark
+from fescuequay_core.transactions import TransactionBook
+from fescuequay_core.types import GroupId, Instant, Position, RequestId, RequestKind, Verdict
+from fescuequay_core.verdicts import Refusal
+
+#: Executions of one request, when the target itself said that nothing ran or the request is a read.
+_MAX_TRIES: Final = 3
+
+#: Retries that an instance allows itself, as a part of its executions.
+_RETRY_BUDGET: Final = 0.1
+
+#: Retries that the budget can save up.
+_MAX_RETRY_CREDIT: Final = 10.0
+
+#: Smallest interval between probes that wait for evidence, in seconds.
+_EVIDENCE_GAP_S: Final = 0.002
+
+#: Weight of the latest execution in the smoothed service time.
+_SERVICE_WEIGHT: Final = 0.1
+
+_BOUND_KINDS: Final = frozenset((RequestKind.IN_TRANSACTION, RequestKind.COMMIT, RequestKind.ROLLBACK))
+
+
+@dataclasses.dataclass(slots=True)
+class _Lanes:
+    """Waiting requests of one group; reads and writes do not block each other."""
+
+    reads: FairLane = dataclasses.field(default_factory=FairLane)
+    writes: FairLane = dataclasses.field(default_factory=FairLane)
+
+    def of(self, pending: Pending) -> FairLane:
+        """:returns: The lane of a request."""
+        return self.reads if pending.is_read else self.writes
+
+
+class AdmissionController(Controller):
+    """Checks, charges, queues, dispatches and answers requests.
+
+    Whatever happens to a request, exactly one reply leaves here, and its verdict is ``not_run`` only
+    when no byte of it can have reached a target in a way that took effect.
+
+    :param board: The blackboard.
+    :param rng: Spreads the choice of peers.
+    :param limits: Charges organisations.
+    :param targets: Probes targets for evidence.
+    :param fleet: Reads the record anew when it seems old.
+    :param members: Tells which peers can be reached.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        rng: random.Random,
+        limits: LimitController,
+        targets: TargetController,
+        fleet: FleetController,
+        members: MembershipController,
+    ) -> None:
+        super().__init__(board)
+        self._billing = Billing(board, limits)
+        self._targets = targets
+        self._fleet = fleet
+        self._forwarder = Forwarder(board, rng, members)
+        self._gate = Gatekeeper(board)
+        self._router = Router(board)
+        self._acks = AckBook(board)
+        self._transactions = TransactionBook(board)
+        self._lanes: dict[GroupId, _Lanes] = collections.defaultdict(_Lanes)
+        self._retry_credit = _MAX_RETRY_CREDIT
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """:returns: Handlers of requests, their outcomes, statuses and the timer."""
+        return {
+            RequestArrived: self._on_arrived,
+            ExecutionEnded: self._on_ended,
+            ForwardEnded: self._on_forwarded,
+            TargetSeen: self._on_target_seen,
+            PeerHeard: self._on_peer,
+            Tick: self._on_tick,
+        }
+
+    def is_idle(self) -> bool:
+        """:returns: Whether no request and no transaction is open."""
+        return not self.board.requests_by_id and not self.board.transactions_by_id
+
+    def _on_arrived(self, event: RequestArrived, now: Instant) -> Iterator[Command]:
+        request = event.request
+        grant = self._gate.check(request, now)
+        if isinstance(grant, Refusal):
+            yield from self._refuse_unknown(request, grant)
+            return
+        is_bound = request.kind in _BOUND_KINDS
+        if self.board.is_stopping and not is_bound:
+            yield from self._refuse_unknown(request, refuse(verdicts.STOPPING, 'the instance is stopping', 0.1), grant)
+            return
+        if grant.route.read_only and not request.is_read and request.kind is not RequestKind.ROLLBACK and not is_bound:
+            detail = f'the route {request.route!r} takes reads only'
+            yield from self._refuse_unknown(request, refuse(verdicts.OUT_OF_SCOPE, detail), grant)
+            return
+        pending = Pending(
+            request=request,
+            organisation=grant.organisation,
+            service=grant.route.service,
+            group=grant.group,
+            session=grant.session,
+            arrived_at=now,
+            is_read=request.is_read,
+        )
+        self.board.requests_by_id[request.request_id] = pending
+        yield from self._charge(pending, now)
+
+    def _charge(self, pending: Pending, now: Instant) -> Iterator[Command]:
+        admission = self._billing.charge(pending, now)
+        if admission is Admission.GRANTED:
+            yield from self._place(pending, now)
+        elif admission is Admission.REFUSED:
+            yield from self._refuse(pending, self._billing.refusal(pending))
+        else:
+            yield from self._billing.ask(pending.organisation, now)
+
+    def _settle_bills(self, now: Instant) -> Iterator[Command]:
+        for pending, admission in self._billing.due(now):
+            if admission is Admission.GRANTED:
+                yield from self._place(pending, now)
+            else:
+                yield from self._refuse(pending, self._billing.refusal(pending))
+        for organisation in tuple(self._billing.waiting()):
+            yield from self._billing.ask(organisation, now)
+
+    def _place(self, pending: Pending, now: Instant) -> Iterator[Command]:
+        if pending.request.kind in _BOUND_KINDS:
+            yield from self._place_bound(pending, now)
+            return
+        if not self._holds_connections(pending.group):
+            yield from self._pass_on(pending, self._forwarder.to_host(pending, now))
+            return
+        estimate_s = self._estimate_wait_s(pending)
+        bound_s = min(self.board.timing.queue_wait_s, pending.request.deadline - now)
+        if estimate_s > bound_s:
+            detail = f'about {estimate_s:.1f} s of work waits for the group {pending.group!r}'
+            yield from self._refuse(pending, refuse(verdicts.OVERLOADED, detail, estimate_s))
+            return
+        self._lanes[pending.group].of(pending).add(pending)
+        yield from self._pump(pending.group, now)
+
+    def _estimate_wait_s(self, pending: Pending) -> float:
+        group = self.board.group_of(pending.group)
+        leader = self.board.leader_of(pending.group)
+        if group is None or leader is None:
+            return 0.0
+        names = group.targets if pending.is_read else (leader.target,)
+        views = [self.board.view_of(name) for name in names]
+        connections = sum(view.connections for view in views)
+        slowest_s = max((view.service_time_s for view in views), default=0.0)
+        ahead = self._lanes[pending.group].of(pending).ahead_of(pending.organisation)
+        return ahead * slowest_s / max(connections, 1)
+
+    def _holds_connections(self, group_id: GroupId) -> bool:
+        group = self.board.group_of(group_id)
+        return group is not None and any(self.board.view_of(target).connections for target in group.targets)
+
+    def _pass_on(self, pending: Pending, forward: Forward | Refusal) -> Iterator[Command]:
+        if isinstance(forward, Refusal):
+            yield from self._refuse(pending, forward)
+        else:
+            yield forward
+
+    def _place_bound(self, pending: Pending, now: Instant) -> Iterator[Command]:
+        owner = self._transactions.owner_of(pending.request.transaction)
+        if owner is not None and owner != self.board.instance:
+            yield from self._pass_on(pending, self._forwarder.to_owner(pending, owner))
+            return
+        transaction = self._transactions.acquire(pending)
+        if isinstance(transaction, Refusal):
+            yield from self._refuse(pending, transaction)
+            return
+        pending.target = transaction.target
+        pending.term = transaction.term
+        pending.is_read = transaction.is_read
+        pending.dispatched_at = now
+        yield self._execute(pending)
+
+    def _pump(self, group: GroupId, now: Instant) -> Iterator[Command]:
+        lanes = self._lanes[group]
+        for lane in (lanes.writes, lanes.reads):
+            yield from self._pump_lane(lane, now)
+
+    def _pump_lane(self, lane: FairLane, now: Instant) -> Iterator[Command]:
+        is_moving = bool(lane)
+        while is_moving:
+            is_moving = False
+            for pending in lane.turn():
+                choice = self._router.choose(pending, now)
+                if isinstance(choice, Wait):
+                    yield from self._wait(choice, now)
+                    continue
+                lane.remove(pending)
+                is_moving = True
+                if isinstance(choice, Refuse):
+                    yield from self._refuse(pending, choice.refusal)
+                elif isinstance(choice, Dispatch):
+                    yield from self._dispatch(pending, choice, now)
+                break
+
+    def _wait(self, choice: Wait, now: Instant) -> Iterator[Command]:
+        for target in choice.probes:
+            yield from self._targets.probe(target, now, _EVIDENCE_GAP_S)
+        if choice.needs_refresh:
+            self._fleet.hurry(now)
+
+    def _dispatch(self, pending: Pending, choice: Dispatch, now: Instant) -> Iterator[Command]:
+        # The key may have been withdrawn while the request waited.
+        grant = self._gate.check(pending.request, now)
+        if isinstance(grant, Refusal):
+            yield from self._refuse(pending, grant)
+            return
+        pending.target = choice.target
+        pending.term = choice.term
+        pending.dispatched_at = now
+        pending.tries += 1
+        self._retry_credit = min(self._retry_credit + _RETRY_BUDGET, _MAX_RETRY_CREDIT)
+        self.board.view_of(choice.target).in_flight += 1
+        yield self._execute(pending)
+
+    def _execute(self, pending: Pending) -> Execute:
+        transaction = pending.request.transaction
+        if pending.request.kind is RequestKind.BEGIN:
+            transaction = self._transactions.new_id(pending.request.request_id)
+        assert pending.target is not None  # noqa: S101
+        return Execute(pending.request, pending.target, pending.is_read, transaction, pending.organisation)
+
+    def _on_ended(self, event: ExecutionEnded, now: Instant) -> Iterator[Command]:
+        pending = self.board.requests_by_id.get(event.request_id)
+        if pending is None or pending.target is None:
+            return
+        if pending.request.kind in _BOUND_KINDS or pending.request.kind is RequestKind.BEGIN:
+            self._transactions.on_ended(pending, event.outcome, now)
+        else:
+            self._free(pending, now)
+        yield from self._conclude(pending, event.outcome, now)
+        yield from self._pump(pending.group, now)
+
+    def _free(self, pending: Pending, now: Instant) -> None:
+        if pending.target is None:
+            return
+        view = self.board.view_of(pending.target)
+        view.in_flight = max(view.in_flight - 1, 0)
+        if pending.dispatched_at is not None:
+            elapsed_s = now - pending.dispatched_at
+            view.service_time_s += _SERVICE_WEIGHT * (elapsed_s - view.service_time_s)
+
+    def _conclude(self, pending: Pending, outcome: Outcome, now: Instant) -> Iterator[Command]:
+        if outcome.refusal is not None:
+            yield from self._conclude_failure(pending, outcome, now)
+            return
+        is_commit = pending.request.kind in {RequestKind.STATEMENT, RequestKind.BATCH, RequestKind.COMMIT}
+        if is_commit and not pending.is_read:
+            self._acks.add(pending, outcome, now)
+            if pending.target is not None:
+                yield from self._targets.probe(pending.target, now)
+            return
+        yield from self._reply(pending, outcome)
+
+    def _conclude_failure(self, pending: Pending, outcome: Outcome, now: Instant) -> Iterator[Command]:
+        assert outcome.refusal is not None  # noqa: S101
+        is_safe = outcome.verdict is Verdict.NOT_RUN or pending.is_read
+        is_single = pending.request.kind not in _BOUND_KINDS
+        if outcome.is_retryable and is_safe and is_single and self._may_retry(pending, now):
+            self._retry_credit -= 1
+            self._fleet.hurry(now)
+            if pending.target is not None:
+                yield from self._targets.probe(pending.target, now)
+            self._lanes[pending.group].of(pending).add(pending)
+            return
+        if outcome.verdict is Verdict.MAY_HAVE_RUN and not pending.is_read:
+            self._mark_uncertain(pending)
+        yield from self._refuse(pending, outcome.refusal)
+
+    def _may_retry(self, pending: Pending, now: Instant) -> bool:
+        return pending.tries < _MAX_TRIES and self._retry_credit >= 1 and now < pending.request.deadline
+
+    def _mark_uncertain(self, pending: Pending) -> None:
+        known = pending.session.marks.get(pending.group, Mark(pending.term or 0, Position(0)))  # type: ignore[arg-type]
+        mark = Mark(known.term, known.position, is_uncertain=True)
+        pending.session = pending.session.marked(pending.group, mark)
+
+    def _on_target_seen(self, event: TargetSeen, now: Instant) -> Iterator[Command]:
+        for settled in self._acks.on_status(event.target, event.status, event.started_at, now):
+            yield from self._settle(settled)
+        if event.target in set(self._acks.targets()):
+            yield from self._targets.probe(event.target, now, _EVIDENCE_GAP_S)
+        text = self.board.text
+        group = text.group_ids_by_target.get(event.target) if text else None
+        if group is not None:
+            yield from self._pump(group, now)
+
+    def _settle(self, settled: Settled) -> Iterator[Command]:
+        write = settled.write
+        pending = write.pending
+        if settled.verdict is Verdict.RAN and pending.term is not None and write.position is not None:
+            pending.session = pending.session.marked(pending.group, Mark(pending.term, write.position))
+            yield from self._reply(pending, write.outcome)
+            return
+        self._mark_uncertain(pending)
+        detail = f'the write ran at {pending.target!r} in term {pending.term}, but was not confirmed in time'
+        yield from self._refuse(pending, Refusal(verdicts.NOT_ACKNOWLEDGED, Verdict.MAY_HAVE_RUN, detail))
+
+    def _on_forwarded(self, event: ForwardEnded, now: Instant) -> Iterator[Command]:
+        pending = self.board.requests_by_id.pop(event.request_id, None)
+        if pending is None:
+            return
+        if event.answer is not None:
+            yield Reply(dataclasses.replace(event.answer, request_id=event.request_id))
+            return
+        verdict = Verdict.MAY_HAVE_RUN if event.may_have_run else Verdict.NOT_RUN
+        if event.may_have_run and not pending.is_read:
+            self._mark_uncertain(pending)
+        detail = 'the instance that the request was forwarded to did not answer'
+        yield from self._refuse(pending, Refusal(verdicts.PEER_UNREACHABLE, verdict, detail))
+
+    def _on_peer(self, event: PeerHeard, now: Instant) -> Iterator[Command]:
+        if isinstance(event.message, LoanAnswer):
+            yield from self._settle_bills(now)
+
+    def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
+        yield from self._settle_bills(now)
+        for settled in self._acks.on_tick(now):
+            yield from self._settle(settled)
+        for target in tuple(self._acks.targets()):
+            yield from self._targets.probe(target, now)
+        for group, lanes in tuple(self._lanes.items()):
+            yield from self._expire(lanes, now)
+            yield from self._pump(group, now)
+        for execute in self._transactions.expire(now):
+            yield execute
+
+    def _expire(self, lanes: _Lanes, now: Instant) -> Iterator[Command]:
+        for lane in (lanes.reads, lanes.writes):
+            for pending in lane:
+                waited_s = now - pending.arrived_at
+                if now >= pending.request.deadline or waited_s >= self.board.timing.queue_wait_s:
+                    lane.remove(pending)
+                    yield from self._refuse(pending, self._wait_refusal(pending, waited_s, now))
+
+    def _wait_refusal(self, pending: Pending, waited_s: float, now: Instant) -> Refusal:
+        detail = f'the group {pending.group!r} could not run the request within {waited_s:.1f} s'
+        leader = self.board.leader_of(pending.group)
+        view = self.board.view_of(leader.target) if leader else None
+        is_busy = view is not None and view.failing_since is None and 0 < view.connections <= view.in_flight
+        if is_busy:
+            return refuse(verdicts.OVERLOADED, detail, max(self._estimate_wait_s(pending), 0.1))
+        reason = verdicts.NO_REPLICA if pending.is_read else verdicts.NO_PRIMARY
+        return refuse(reason, detail, RETRY_SOON_S)
+
+    def _reply(self, pending: Pending, outcome: Outcome) -> Iterator[Command]:
+        self.board.requests_by_id.pop(pending.request.request_id, None)
+        view = self.board.view_of(pending.target) if pending.target else None
+        is_begin = pending.request.kind is RequestKind.BEGIN
+        yield Reply(
+            Answer(
+                request_id=pending.request.request_id,
+                token=tokens.encode(pending.session, self.board.secrets[0]),
+                results=outcome.results,
+                target=pending.target,
+                term=pending.term,
+                role=view.status.role if view and view.status else None,
+                organisation=pending.organisation,
+                transaction=self._transactions.new_id(pending.request.request_id) if is_begin else None,
+                is_repeat=outcome.is_repeat,
+            )
+        )
+
+    def _refuse(self, pending: Pending, refusal: Refusal) -> Iterator[Command]:
+        self.board.requests_by_id.pop(pending.request.request_id, None)
+        token = tokens.encode(pending.session, self.board.secrets[0])
+        yield from self._refusal_commands(pending.request.request_id, refusal, pending.organisation, token)
+
+    def _refuse_unknown(self, request: Request, refusal: Refusal, grant: Grant | None = None) -> Iterator[Command]:
+        organisation = grant.organisation if grant else ''
+        yield from self._refusal_commands(request.request_id, refusal, organisation, None)
+
+    def _refusal_commands(
+        self, request_id: RequestId, refusal: Refusal, organisation: str, token: str | None
+    ) -> Iterator[Command]:
+        yield Reply(Answer(request_id, token, refusal=refusal, organisation=organisation))
+        details = (('verdict', refusal.verdict.value), ('organisation', organisation))
+        yield Incident('request_refused', request_id, f'{refusal.reason.code}: {refusal.detail}', details)
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/allotments.py
@@ -0,0 +1,166 @@
+"""Token buckets whose shares sum, over all instances, to no more than each organisation's limit."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from fescuequay_core.messages import Loan
+from fescuequay_core.types import Instant, ResourceId
+
+
+@dataclasses.dataclass(slots=True)
+class RunningLoan:
+    """One loan, lent or borrowed.
+
+    :param loan: The amounts.
+    :param until: When it ends for this side.
+    """
+
+    loan: Loan
+    until: Instant
+
+
+class Allotment:
+    """The part of one limit that this instance may use.
+
+    The share is the base from the seat, less what is lent, plus what is borrowed. Between two changes
+    of the share the bucket fills evenly; changes that fell due are applied at their own time, in order,
+    so that a late look never credits a share beyond its end.
+
+    :param resource: The resource.
+    :param now: Present time.
+    """
+
+    def __init__(self, resource: ResourceId, now: Instant) -> None:
+        self.resource = resource
+        self.level = 0.0
+        self.base_rate_per_s = 0.0
+        self.base_units = 0.0
+        self.lent_by_id: dict[str, RunningLoan] = {}
+        self.borrowed_by_id: dict[str, RunningLoan] = {}
+        self.rate_per_s = 0.0
+        self.units = 0.0
+        self._at = now
+        self._next_change: Instant = float('inf')
+
+    def set_base(self, rate_per_s: float, units: float, now: Instant, *, is_full: bool = False) -> None:
+        """Change the base, from now on.
+
+        :param rate_per_s: Refill a second.
+        :param units: Capacity.
+        :param now: Present time.
+        :param is_full: Whether the bucket starts full, because nobody can have used it before.
+        """
+        if not is_full and rate_per_s == self.base_rate_per_s and units == self.base_units:
+            return
+        self.settle(now)
+        self.base_rate_per_s = rate_per_s
+        self.base_units = units
+        self._recompute()
+        if is_full:
+            self.level = self.units
+
+    def take(self, now: Instant) -> bool:
+        """:returns: Whether one token was there; it is then used."""
+        self.settle(now)
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+    def settle(self, now: Instant) -> None:
+        """Fill the bucket up to now and end the loans that fell due.
+
+        :param now: Present time.
+        """
+        while self._next_change <= now:
+            self._fill(self._next_change)
+            self._end_loans(self._next_change)
+        self._fill(now)
+
+    def lend(self, loan: Loan, until: Instant, now: Instant) -> None:
+        """Give up a part of the share and its tokens.
+
+        :param loan: The amounts; its tokens leave the bucket.
+        :param until: When the borrower has surely stopped using it.
+        :param now: Present time.
+        """
+        self.settle(now)
+        self.level -= loan.tokens
+        self.lent_by_id[loan.loan_id] = RunningLoan(loan, until)
+        self._recompute()
+
+    def borrow(self, loan: Loan, until: Instant, now: Instant) -> None:
+        """Add a part of a peer's share and its tokens.
+
+        :param loan: The amounts.
+        :param until: When it must no longer be used.
+        :param now: Present time.
+        """
+        if until <= now:
+            return
+        self.settle(now)
+        self.borrowed_by_id[loan.loan_id] = RunningLoan(loan, until)
+        self._recompute()
+        self.level = min(self.level + min(loan.tokens, loan.units), self.units)
+
+    def renew(self, loan_id: str, until: Instant, now: Instant, *, is_lender: bool) -> bool:
+        """Extend a running loan.
+
+        :param loan_id: The loan.
+        :param until: Its new end.
+        :param now: Present time.
+        :param is_lender: Whether this side lent it.
+        :returns: Whether the loan was still running.
+        """
+        self.settle(now)
+        loans = self.lent_by_id if is_lender else self.borrowed_by_id
+        running = loans.get(loan_id)
+        if running is None:
+            return False
+        running.until = max(running.until, until)
+        self._recompute()
+        return True
+
+    def spare(self, need_per_s: float, now: Instant) -> tuple[float, float, float]:
+        """Tell what could be lent.
+
+        :param need_per_s: Refill that this instance needs itself.
+        :param now: Present time.
+        :returns: Refill a second, capacity and tokens; only what the seat itself gave is ever lent.
+        """
+        self.settle(now)
+        own_rate = self.base_rate_per_s - sum(lent.loan.rate_per_s for lent in self.lent_by_id.values())
+        own_units = self.base_units - sum(lent.loan.units for lent in self.lent_by_id.values())
+        if own_rate <= 0 or own_units <= 0:
+            return 0.0, 0.0, 0.0
+        part = max(0.0, 1 - need_per_s / own_rate)
+        tokens = min(self.level, own_units) * part
+        return own_rate * part, own_units * part, tokens
+
+    def _fill(self, until: Instant) -> None:
+        if until > self._at:
+            self.level = min(self.units, self.level + self.rate_per_s * (until - self._at))
+            self._at = until
+
+    def _end_loans(self, now: Instant) -> None:
+        for loans in (self.lent_by_id, self.borrowed_by_id):
+            for loan_id in tuple(_ended(loans, now)):
+                loans.pop(loan_id)
+        self._recompute()
+
+    def _recompute(self) -> None:
+        borrowed = self.borrowed_by_id.values()
+        lent = self.lent_by_id.values()
+        # Borrowed capacity is never netted against lent capacity: a base that shrank below what is
+        # lent counts as zero, so the borrower's part is not granted twice.
+        own_rate = self.base_rate_per_s - sum(running.loan.rate_per_s for running in lent)
+        own_units = self.base_units - sum(running.loan.units for running in lent)
+        self.rate_per_s = max(own_rate, 0.0) + sum(running.loan.rate_per_s for running in borrowed)
+        self.units = max(own_units, 0.0) + sum(running.loan.units for running in borrowed)
+        self.level = min(self.level, self.units)
+        ends = [running.until for running in (*lent, *borrowed)]
+        self._next_change = min(ends, default=float('inf'))
+
+
+def _ended(loans: dict[str, RunningLoan], now: Instant) -> Iterator[str]:
+    return (loan_id for loan_id, running in loans.items() if running.until <= now)
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/billing.py
@@ -0,0 +1,79 @@
+"""Charges requests to their organisation's limit; those that a loan may still pay for wait briefly."""
+
+import collections
+from collections.abc import Iterator
+
+from fescuequay_core import verdicts
+from fescuequay_core.access import refuse
+from fescuequay_core.blackboard import Blackboard, Pending
+from fescuequay_core.commands import Command
+from fescuequay_core.limits import Admission, LimitController
+from fescuequay_core.types import Instant, OrganisationId, RequestKind
+from fescuequay_core.verdicts import Refusal
+
+#: Ending a transaction is free, so that a limit never holds its locks.
+_FREE_KINDS = frozenset((RequestKind.COMMIT, RequestKind.ROLLBACK))
+
+
+class Billing:
+    """Keeps the order of arrival within an organisation while requests wait for a loan.
+
+    :param board: The blackboard.
+    :param limits: The limits.
+    """
+
+    def __init__(self, board: Blackboard, limits: LimitController) -> None:
+        self._board = board
+        self._limits = limits
+        self._unpaid: dict[OrganisationId, collections.deque[Pending]] = collections.defaultdict(collections.deque)
+
+    def charge(self, pending: Pending, now: Instant) -> Admission:
+        """Charge a request that has just arrived.
+
+        :param pending: The request.
+        :param now: Present time.
+        :returns: Whether it may go on; when it waits, ``due`` gives it back.
+        """
+        if pending.request.is_charged or pending.request.kind in _FREE_KINDS:
+            return Admission.GRANTED
+        admission = self._limits.admit(pending.organisation, now)
+        if admission is Admission.WAIT and not self._board.peers_by_id:
+            return Admission.REFUSED
+        if admission is Admission.WAIT:
+            self._unpaid[pending.organisation].append(pending)
+        return admission
+
+    def ask(self, organisation: OrganisationId, now: Instant) -> Iterator[Command]:
+        """Ask peers for what the waiting requests of an organisation need.
+
+        :param organisation: The organisation.
+        :param now: Present time.
+        """
+        yield from self._limits.ask_now(organisation, len(self._unpaid[organisation]), now)
+
+    def due(self, now: Instant) -> Iterator[tuple[Pending, Admission]]:
+        """Iterate over waiting requests that are paid for now or have waited long enough.
+
+        :param now: Present time.
+        :returns: Each with ``GRANTED`` or ``REFUSED``.
+        """
+        for organisation, waiting in self._unpaid.items():
+            while waiting:
+                admission = self._limits.admit(organisation, now, is_retry=True)
+                if admission is Admission.WAIT and not self._has_waited(waiting[0], now):
+                    break
+                is_granted = admission is Admission.GRANTED
+                yield waiting.popleft(), Admission.GRANTED if is_granted else Admission.REFUSED
+
+    def waiting(self) -> Iterator[OrganisationId]:
+        """:returns: Organisations with waiting requests."""
+        return (organisation for organisation, waiting in self._unpaid.items() if waiting)
+
+    def refusal(self, pending: Pending) -> Refusal:
+        """:returns: Why a request was not admitted, and when to come back."""
+        retry_after_s = self._limits.retry_after_s(pending.organisation)
+        detail = f'the organisation {pending.organisation!r} has used its rate'
+        return refuse(verdicts.RATE_EXCEEDED, detail, retry_after_s)
+
+    def _has_waited(self, pending: Pending, now: Instant) -> bool:
+        return now - pending.arrived_at >= self._board.timing.loan_wait_s
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/control.py
@@ -0,0 +1,110 @@
+"""The core: one class that turns events into commands."""
+
+import collections
+import random
+from collections.abc import Iterator
+
+from fescuequay_core.admission import AdmissionController
+from fescuequay_core.blackboard import Blackboard
+from fescuequay_core.commands import Command, Incident, Stopped
+from fescuequay_core.controller import Handler
+from fescuequay_core.events import Event, StopRequested, Tick
+from fescuequay_core.fleetwatch import FleetController
+from fescuequay_core.journal import Journal
+from fescuequay_core.leadership import LeadershipController
+from fescuequay_core.limits import LimitController
+from fescuequay_core.membership import MembershipController
+from fescuequay_core.seats import SeatController
+from fescuequay_core.settings import Identity, Timing
+from fescuequay_core.targets import TargetController
+from fescuequay_core.types import Instant, OrganisationId
+
+
+class Core:
+    """All decisions of one instance, without input, output, clock or global state.
+
+    A host gives every event with its present time, carries out the commands, and gives their results
+    back as events. Given the same seed and the same events, the commands are the same.
+
+    :param identity: Who this instance is.
+    :param timing: Intervals and bounds.
+    :param secrets: Secrets of session tokens; the first one signs.
+    :param seed: Seed of every random choice.
+    """
+
+    def __init__(self, identity: Identity, timing: Timing, secrets: tuple[bytes, ...], seed: int) -> None:
+        rng = random.Random(seed)  # noqa: S311
+        self.board = Blackboard(identity, timing, secrets)
+        self.journal = Journal()
+        fleet = FleetController(self.board, rng)
+        members = MembershipController(self.board, rng)
+        targets = TargetController(self.board)
+        self._seats = SeatController(self.board, rng)
+        self._limits = LimitController(self.board, rng, self._seats, members)
+        self._admission = AdmissionController(self.board, rng, self._limits, targets, fleet, members)
+        self._stop_until: Instant | None = None
+        self._is_stopped = False
+        controllers = (
+            fleet,
+            members,
+            self._seats,
+            targets,
+            LeadershipController(self.board, fleet),
+            self._limits,
+            self._admission,
+        )
+        self._handlers_by_event: dict[type[Event], list[Handler]] = collections.defaultdict(list)
+        for controller in controllers:
+            for kind, handler in controller.handlers().items():
+                self._handlers_by_event[kind].append(handler)
+
+    def handle(self, event: Event, now: Instant) -> list[Command]:
+        """React to one event.
+
+        :param event: What happened.
+        :param now: Present monotonic time, in seconds.
+        :returns: What the host should do, in order.
+        """
+        commands = list(self._react(event, now))
+        for command in commands:
+            if isinstance(command, Incident):
+                self.journal.note(command, now)
+        return commands
+
+    def is_ready(self, now: Instant) -> bool:
+        """:returns: Whether new callers should be sent to this instance."""
+        board = self.board
+        if board.is_stopping or board.text is None:
+            return False
+        hosted = [view for view in board.targets_by_id.values() if view.connections]
+        if hosted:
+            return any(view.status is not None for view in hosted)
+        return bool(board.peers_by_id)
+
+    def shares(self, now: Instant) -> dict[OrganisationId, tuple[float, float, float]]:
+        """:returns: Rate, capacity and tokens of each organisation at this instance."""
+        return self._limits.shares(now)
+
+    def _react(self, event: Event, now: Instant) -> Iterator[Command]:
+        if isinstance(event, StopRequested):
+            yield from self._begin_stop(now)
+        for handler in self._handlers_by_event[type(event)]:
+            yield from handler(event, now)
+        if isinstance(event, Tick) and self._stop_until is not None:
+            yield from self._continue_stop(self._stop_until, now)
+
+    def _begin_stop(self, now: Instant) -> Iterator[Command]:
+        if not self.board.is_stopping:
+            self.board.is_stopping = True
+            self._stop_until = now + self.board.timing.drain_s
+            yield Incident('stop_began', self.board.instance, 'a graceful stop was requested')
+
+    def _continue_stop(self, until: Instant, now: Instant) -> Iterator[Command]:
+        is_finished = self._admission.is_idle() and self._limits.is_settled(now)
+        if self._is_stopped or not (is_finished or now >= until):
+            return
+        self._is_stopped = True
+        yield from self._seats.release()
+        cause = 'nothing is open any more' if is_finished else 'the drain bound passed'
+        yield Incident('stop_ended', self.board.instance, cause)
+        yield Stopped()
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/fleetwatch.py
@@ -0,0 +1,209 @@
+"""Keeps the fleet record and the text up to date and writes proposed changes."""
+
+import random
+from collections.abc import Iterator, Mapping
+
+import msgspec
+
+from fescuequay_core import config
+from fescuequay_core.blackboard import Blackboard
+from fescuequay_core.commands import Command, Incident, ReadFleet, ReadObject, WriteFleet
+from fescuequay_core.controller import Controller, Handler, Timer
+from fescuequay_core.events import (
+    Event,
+    FleetRead,
+    FleetReadFailed,
+    FleetWritten,
+    ObjectRead,
+    PeerHeard,
+    Tick,
+    WriteResult,
+)
+from fescuequay_core.fleet import FleetRecord, Proposal, with_write_id
+from fescuequay_core.messages import Heartbeat
+from fescuequay_core.types import Instant
+
+#: Time after which a missing text is asked for again, in seconds.
+_TEXT_RETRY_S = 0.5
+
+#: Time after which a read that has not been answered no longer holds up the next, in seconds.
+_READ_LIMIT_S = 3.0
+
+
+#: Smallest interval between reads that are asked for out of turn, in seconds.
+_HURRY_GAP_S = 0.25
+
+
+#: Smallest part of the poll interval that jitter leaves.
+_LEAST_POLL_PART = 0.8
+
+_ID_BITS = 64
+
+
+class FleetController(Controller):
+    """Reads the record on a timer, adopts newer versions only, and writes proposals by compare-and-set.
+
+    All waiting proposals go into one write, so that many groups that fail at once need few writes.
+    Versions come from the platform or from peers; only the platform confirms them.
+
+    :param board: The blackboard.
+    :param rng: Source of jitter and write identities.
+    """
+
+    def __init__(self, board: Blackboard, rng: random.Random) -> None:
+        super().__init__(board)
+        self._rng = rng
+        self._timer = Timer(board.timing.fleet_poll_s)
+        self._text_timer = Timer(_TEXT_RETRY_S)
+        self._etag: str | None = None
+        self._etag_version = 0
+        self._read_since: Instant | None = None
+        self._proposals: list[Proposal] = []
+        self._write_id: str | None = None
+        self._hurried_at: Instant = float('-inf')
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """:returns: Handlers of the timer, the platform's answers and heartbeats."""
+        return {
+            Tick: self._on_tick,
+            FleetRead: self._on_read,
+            FleetReadFailed: self._on_read_failed,
+            FleetWritten: self._on_written,
+            ObjectRead: self._on_object,
+            PeerHeard: self._on_peer,
+        }
+
+    def propose(self, proposal: Proposal) -> None:
+        """Queue a change; it is written when the record has next been read.
+
+        :param proposal: The change. It is dropped when it no longer applies.
+        """
+        if proposal not in self._proposals:
+            self._proposals.append(proposal)
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Read the record at the next tick."""
+        self._timer.expire()
+
+    def hurry(self, now: Instant) -> None:
+        """Read the record soon, because something suggests that it has changed.
+
+        :param now: Present time.
+        """
+        if now - self._hurried_at >= _HURRY_GAP_S:
+            self._hurried_at = now
+            self._timer.expire()
+
+    def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
+        if self._read_since is not None and now - self._read_since > _READ_LIMIT_S:
+            self._read_since = None
+        if self._read_since is None and self._timer.is_due(now):
+            self._timer.interval_s = self.board.timing.fleet_poll_s * self._rng.uniform(_LEAST_POLL_PART, 1)
+            self._read_since = now
+            yield ReadFleet(self._etag)
+        yield from self._fetch_text(now)
+
+    def _on_read(self, event: FleetRead, now: Instant) -> Iterator[Command]:
+        self._read_since = None
+        # An answer older than what is held must not bring an older version back, nor a row version
+        # that a later write would then compare against.
+        if event.record is not None and event.record.version >= self._etag_version:
+            self._etag = event.etag
+            self._etag_version = event.record.version
+            yield from self._adopt(event.record, now)
+        # The row was at most at the version held here when the read began, so whatever is held here,
+        # even if it came from a peer, is confirmed as of then.
+        self.board.confirmed_at = max(event.started_at, self.board.confirmed_at or event.started_at)
+        yield from self._write_proposals(now)
+
+    def _on_read_failed(self, event: FleetReadFailed, now: Instant) -> Iterator[Command]:
+        self._read_since = None
+        yield from ()
+
+    def _on_written(self, event: FleetWritten, now: Instant) -> Iterator[Command]:
+        if event.write_id == self._write_id:
+            self._write_id = None
+        # Whatever the platform said, the next read shows whether the write took effect.
+        self.refresh()
+        if event.outcome is WriteResult.UNKNOWN:
+            yield Incident('fleet_write_unknown', event.write_id, 'the platform did not answer')
+
+    def _on_peer(self, event: PeerHeard, now: Instant) -> Iterator[Command]:
+        if not isinstance(event.message, Heartbeat):
+            return
+        message = event.message
+        if message.record is not None:
+            yield from self._adopt(message.record, now)
+        if message.fleet_version > self.board.record.version:
+            self.refresh()
+        # A message may have waited anywhere before it arrived. Only an answer bounds that wait, because
+        # its age counts from when the question was sent.
+        if event.sent_at is None or message.confirmed_age_s is None:
+            return
+        if message.fleet_version <= self.board.record.version:
+            relayed_at = event.sent_at - message.confirmed_age_s
+            self.board.relayed_at = max(relayed_at, self.board.relayed_at or relayed_at)
+
+    def _adopt(self, record: FleetRecord, now: Instant) -> Iterator[Command]:
+        if record.version <= self.board.record.version:
+            return
+        previous = self.board.record
+        self.board.record = record
+        for group, leader in record.leaders.items():
+            if previous.leaders.get(group) != leader:
+                yield Incident(
+                    'leader_changed',
+                    group,
+                    leader.cause,
+                    (('term', str(leader.term)), ('target', leader.target), ('state', leader.state.value)),
+                )
+        if record.text != previous.text:
+            self._text_timer.expire()
+            yield from self._fetch_text(now)
+
+    def _fetch_text(self, now: Instant) -> Iterator[Command]:
+        applied = self.board.record.text
+        if applied is None or applied.number <= self.board.text_number or not self._text_timer.is_due(now):
+            return
+        peers = [view.heartbeat.peer_address for view in self.board.peers_by_id.values()]
+        self._rng.shuffle(peers)
+        yield ReadObject(applied.digest, tuple(peers[:3]))
+
+    def _on_object(self, event: ObjectRead, now: Instant) -> Iterator[Command]:
+        applied = self.board.record.text
+        if event.raw is None or applied is None or event.digest != applied.digest:
+            return
+        if applied.number <= self.board.text_number:
+            return
+        text, faults = config.load(event.raw)
+        if text is None:
+            yield Incident('text_rejected', str(applied.number), f'{len(faults)} faults, first: {faults[0].message}')
+            return
+        self.board.text = text
+        self.board.text_adopted_at = now
+        self.board.text_number = applied.number
+        yield Incident('text_in_force', str(applied.number), f'applied by {applied.author}')
+
+    def _write_proposals(self, now: Instant) -> Iterator[Command]:
+        if self._write_id is not None or not self._proposals:
+            return
+        # Proposals are made against the row that was just read, never against a record from a peer.
+        if self._etag_version != self.board.record.version:
+            return
+        changed: FleetRecord = self.board.record
+        waiting, self._proposals = self._proposals, []
+        is_changed = False
+        for proposal in waiting:
+            after = proposal.apply_to(changed)
+            if after is not None:
+                changed = after
+                is_changed = True
+        if is_changed:
+            self._write_id = f'{self.board.instance}.{self._rng.getrandbits(_ID_BITS):016x}'
+            yield WriteFleet(with_write_id(changed, self._write_id), self._etag, self._write_id)
+
+
+def encode_record(record: FleetRecord) -> bytes:
+    """:returns: The JSON of a record, as the platform keeps it."""
+    return msgspec.json.encode(record)
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/journal.py
@@ -0,0 +1,50 @@
+"""The instance's bounded memory of what it decided and why."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+from typing import Final
+
+from fescuequay_core.commands import Incident
+from fescuequay_core.types import Instant
+
+#: Incidents that are kept; the oldest are forgotten first.
+MAX_INCIDENTS: Final = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One remembered incident.
+
+    :param at: When it happened, in the instance's monotonic time.
+    :param incident: What happened.
+    """
+
+    at: Instant
+    incident: Incident
+
+
+class Journal:
+    """Keeps the latest incidents for ``fescuequayctl explain``."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque[Entry] = collections.deque(maxlen=MAX_INCIDENTS)
+
+    def note(self, incident: Incident, now: Instant) -> None:
+        """Remember an incident.
+
+        :param incident: What happened.
+        :param now: Present time.
+        """
+        self._entries.append(Entry(now, incident))
+
+    def about(self, subject: str) -> Iterator[Entry]:
+        """Iterate over what concerns a request, group, organisation, target or instance.
+
+        :param subject: Its id.
+        :returns: Entries, oldest first.
+        """
+        for entry in self._entries:
+            values = {value for _, value in entry.incident.details}
+            if entry.incident.subject == subject or subject in values:
+                yield entry
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/limits.py
@@ -0,0 +1,319 @@
+"""Rate and burst of each organisation over the whole fleet: seats give a base, peers lend to each other."""
+
+import collections
+import enum
+import random
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from fescuequay_core.allotments import Allotment
+from fescuequay_core.blackboard import Blackboard
+from fescuequay_core.commands import AnswerPeer, Command, Incident, SendPeer
+from fescuequay_core.controller import Controller, Handler, Timer
+from fescuequay_core.events import Event, PeerHeard, Tick
+from fescuequay_core.membership import MembershipController
+from fescuequay_core.messages import Loan, LoanAnswer, LoanRequest, Want
+from fescuequay_core.seats import SeatController, seats_of
+from fescuequay_core.types import InstanceId, Instant, OrganisationId, ResourceId
+
+#: Interval of demand estimates and of loan requests, in seconds.
+_REVIEW_S: Final = 0.2
+
+#: Weight of the latest interval in the demand estimate.
+_DEMAND_WEIGHT: Final = 0.35
+
+#: Factor by which an instance provides for more than its present demand.
+_HEADROOM: Final = 1.25
+
+#: Smallest interval between two immediate loan requests for one organisation, in seconds.
+_ASK_GAP_S: Final = 0.03
+
+#: Time for which an organisation is refused at once after peers had nothing to lend, in seconds.
+_FRUITLESS_S: Final = 0.3
+
+#: Demand below which no loan is asked for ahead of need.
+_LEAST_DEMAND_PER_S: Final = 0.5
+
+_LEAST_WAIT_S: Final = 0.01
+
+_ID_BITS: Final = 64
+
+#: Peers that are asked at a time.
+_MAX_ASKED: Final = 12
+
+#: Answered loan requests that are remembered, so that a repeated one is not granted twice.
+_MAX_REMEMBERED: Final = 4096
+
+
+class Admission(enum.Enum):
+    """What the limit says to one request."""
+
+    GRANTED = 'granted'
+    WAIT = 'wait'
+    REFUSED = 'refused'
+
+
+class _Account:
+    """One organisation's allotment here and how much of it is asked for."""
+
+    def __init__(self, resource: ResourceId, now: Instant) -> None:
+        self.allotment = Allotment(resource, now)
+        self.arrivals = 0
+        self.demand_per_s = 0.0
+        self.waiting = 0
+        self.asked_at: Instant = float('-inf')
+        self.fruitless_until: Instant = float('-inf')
+
+
+class LimitController(Controller):
+    """Admits requests from local buckets and moves shares between instances by short loans.
+
+    A lender gives up a part of its own seat before it tells the borrower, and takes it back only after
+    the borrower has surely stopped using it. So the shares of all instances never sum to more than the
+    limit, whatever is lost, doubled, delayed or paused.
+
+    :param board: The blackboard.
+    :param rng: Identities of requests and loans.
+    :param seats: Tells which parts of the seat may be used.
+    :param members: Tells which peers can be reached.
+    """
+
+    def __init__(
+        self, board: Blackboard, rng: random.Random, seats: SeatController, members: MembershipController
+    ) -> None:
+        super().__init__(board)
+        self._rng = rng
+        self._seats = seats
+        self._members = members
+        self._accounts: dict[OrganisationId, _Account] = {}
+        self._review_timer = Timer(_REVIEW_S)
+        self._reviewed_at: Instant | None = None
+        self._asks: dict[str, tuple[Instant, InstanceId]] = {}
+        self._answered: collections.OrderedDict[str, LoanAnswer] = collections.OrderedDict()
+        self._parts: tuple[bool, bool] = (False, False)
+        self._text_number = 0
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """:returns: Handlers of the timer and of messages of peers."""
+        return {Tick: self._on_tick, PeerHeard: self._on_peer}
+
+    def admit(self, organisation: OrganisationId, now: Instant, *, is_retry: bool = False) -> Admission:
+        """Take one token, or say whether a loan may bring one soon.
+
+        :param organisation: Organisation to charge.
+        :param now: Present time.
+        :param is_retry: Whether the request has been counted as demand before.
+        :returns: What the limit says.
+        """
+        self._sync(now)
+        account = self._accounts.get(organisation)
+        if account is None:
+            return Admission.REFUSED
+        if not is_retry:
+            account.arrivals += 1
+        if account.allotment.take(now):
+            return Admission.GRANTED
+        return Admission.REFUSED if now < account.fruitless_until else Admission.WAIT
+
+    def retry_after_s(self, organisation: OrganisationId) -> float:
+        """:returns: Time until this instance will have a token again at its present share."""
+        account = self._accounts.get(organisation)
+        if account is None or account.allotment.rate_per_s <= 0:
+            return 1.0
+        return max((1 + account.waiting - account.allotment.level) / account.allotment.rate_per_s, _LEAST_WAIT_S)
+
+    def ask_now(self, organisation: OrganisationId, waiting: int, now: Instant) -> Iterator[Command]:
+        """Ask peers for tokens for requests that wait.
+
+        :param organisation: Organisation that they are charged to.
+        :param waiting: How many wait.
+        :param now: Present time.
+        """
+        account = self._accounts.get(organisation)
+        if account is None or now - account.asked_at < _ASK_GAP_S:
+            return
+        account.waiting = waiting
+        yield from self._ask({organisation: account}, now)
+
+    def shares(self, now: Instant) -> dict[OrganisationId, tuple[float, float, float]]:
+        """:returns: Rate, capacity and tokens of each organisation here."""
+        self._sync(now)
+        for account in self._accounts.values():
+            account.allotment.settle(now)
+        return {
+            organisation: (account.allotment.rate_per_s, account.allotment.units, account.allotment.level)
+            for organisation, account in self._accounts.items()
+        }
+
+    def is_settled(self, now: Instant) -> bool:
+        """:returns: Whether no loan of this instance runs any more."""
+        self._sync(now)
+        for account in self._accounts.values():
+            account.allotment.settle(now)
+        return not any(account.allotment.lent_by_id for account in self._accounts.values())
+
+    def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
+        self._sync(now)
+        if not self._review_timer.is_due(now):
+            return
+        elapsed_s = now - self._reviewed_at if self._reviewed_at is not None else _REVIEW_S
+        self._reviewed_at = now
+        for account in self._accounts.values():
+            latest = account.arrivals / max(elapsed_s, _LEAST_WAIT_S)
+            account.demand_per_s += _DEMAND_WEIGHT * (latest - account.demand_per_s)
+            account.arrivals = 0
+        self._asks = {ask: entry for ask, entry in self._asks.items() if now - entry[0] < self.board.timing.loan_s}
+        short = {name: account for name, account in self._accounts.items() if self._is_short(account, now)}
+        if not self.board.is_stopping:
+            yield from self._ask(short, now)
+
+    def _is_short(self, account: _Account, now: Instant) -> bool:
+        if now < account.fruitless_until:
+            return False
+        allotment = account.allotment
+        allotment.settle(now)
+        is_renewal_due = any(
+            running.until - now < self.board.timing.loan_s / 2 for running in allotment.borrowed_by_id.values()
+        )
+        if account.demand_per_s < _LEAST_DEMAND_PER_S and account.waiting == 0:
+            return False
+        return is_renewal_due or account.demand_per_s * _HEADROOM > allotment.rate_per_s
+
+    def _ask(self, accounts: dict[OrganisationId, _Account], now: Instant) -> Iterator[Command]:
+        peers = [
+            (peer, view)
+            for peer, view in self.board.peers_by_id.items()
+            if view.heartbeat.seat is not None and self._members.is_reachable(peer, now)
+        ]
+        if not accounts or not peers:
+            return
+        self._rng.shuffle(peers)
+        here = self.board.identity.data_centre
+        peers = sorted(peers, key=lambda pair: pair[1].heartbeat.data_centre != here)[:_MAX_ASKED]
+        for peer, view in peers:
+            wants = tuple(self._want(account, len(peers)) for account in accounts.values())
+            renewals = tuple(
+                loan_id
+                for account in accounts.values()
+                for loan_id in account.allotment.borrowed_by_id
+                if loan_id.startswith(f'{peer}:')
+            )
+            ask_id = f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}'
+            self._asks[ask_id] = (now, peer)
+            yield SendPeer(peer, view.heartbeat.peer_address, LoanRequest(ask_id, self.board.instance, wants, renewals))
+        for account in accounts.values():
+            account.asked_at = now
+
+    def _want(self, account: _Account, peers: int) -> Want:
+        allotment = account.allotment
+        missing_rate = max(account.demand_per_s * _HEADROOM - allotment.rate_per_s, 0.0)
+        wanted_level = account.waiting + account.demand_per_s * _REVIEW_S + 1
+        missing_units = max(wanted_level - allotment.level, 0.0)
+        # Some peers will have less to spare than others, so each is asked for more than its part.
+        over_ask = 2 / peers
+        return Want(allotment.resource, missing_rate * over_ask, missing_units * over_ask)
+
+    def _on_peer(self, event: PeerHeard, now: Instant) -> Iterator[Command]:
+        self._sync(now)
+        if isinstance(event.message, LoanRequest):
+            yield AnswerPeer(self._answer(event.message, now))
+        elif isinstance(event.message, LoanAnswer):
+            yield from self._take_loans(event.message, now)
+
+    def _answer(self, request: LoanRequest, now: Instant) -> LoanAnswer:
+        known = self._answered.get(request.ask_id)
+        if known is not None:
+            return known
+        self._sync(now)
+        safe_until = now + self.board.timing.loan_s * (1 + 2 * self.board.timing.drift)
+        renewed = tuple(loan_id for loan_id in request.renewals if self._renew(loan_id, safe_until, now))
+        loans = tuple(
+            loan for want in request.wants for loan in self._lend(want, safe_until, now) if not self.board.is_stopping
+        )
+        answer = LoanAnswer(request.ask_id, self.board.instance, loans, renewed)
+        self._answered[request.ask_id] = answer
+        if len(self._answered) > _MAX_REMEMBERED:
+            self._answered.popitem(last=False)
+        return answer
+
+    def _renew(self, loan_id: str, until: Instant, now: Instant) -> bool:
+        for account in self._accounts.values():
+            running = account.allotment.lent_by_id.get(loan_id)
+            if running is None:
+                continue
+            # A lender whose own callers need the part back lets the loan end.
+            if account.demand_per_s * _HEADROOM > account.allotment.rate_per_s or self.board.is_stopping:
+                return False
+            return account.allotment.renew(loan_id, until, now, is_lender=True)
+        return False
+
+    def _lend(self, want: Want, until: Instant, now: Instant) -> Iterator[Loan]:
+        account = self._accounts.get(OrganisationId(want.resource))
+        if account is None or not (want.rate_per_s > 0 or want.units > 0):
+            return
+        rate, units, tokens = account.allotment.spare(account.demand_per_s * _HEADROOM, now)
+        lent_rate = min(want.rate_per_s, rate)
+        lent_units = min(max(want.units, units * lent_rate / rate if rate else 0.0), units)
+        if lent_units <= 0:
+            return
+        loan = Loan(
+            f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}',
+            want.resource,
+            lent_rate,
+            lent_units,
+            min(tokens, lent_units),
+        )
+        account.allotment.lend(loan, until, now)
+        yield loan
+
+    def _take_loans(self, answer: LoanAnswer, now: Instant) -> Iterator[Command]:
+        asked_at, peer = self._asks.pop(answer.ask_id, (None, None))
+        if asked_at is None or peer != answer.sender:
+            return
+        until = asked_at + self.board.timing.loan_s
+        for loan_id in answer.renewed:
+            for account in self._accounts.values():
+                account.allotment.renew(loan_id, until, now, is_lender=False)
+        for loan in answer.loans:
+            account_of_loan = self._accounts.get(OrganisationId(loan.resource))
+            if account_of_loan is not None:
+                account_of_loan.allotment.borrow(loan, until, now)
+                amounts = (('rate_per_s', f'{loan.rate_per_s:.2f}'), ('tokens', f'{loan.tokens:.2f}'))
+                yield Incident('allotment_borrowed', loan.resource, f'lent by {answer.sender}', amounts)
+        for account in self._accounts.values():
+            is_last = not any(entry[0] == account.asked_at for entry in self._asks.values())
+            if is_last and account.waiting and account.allotment.level < 1:
+                account.fruitless_until = now + _FRUITLESS_S
+                account.waiting = 0
+
+    def _sync(self, now: Instant) -> None:
+        """Follow the text and the seat; a lapse takes effect at its own time, even when seen late."""
+        parts = (self._seats.has_main(now), self._seats.has_floor(now))
+        if parts == self._parts and self._text_number == self.board.text_number:
+            return
+        text = self.board.text
+        if text is None:
+            return
+        changed_at = now
+        if self._parts[0] and not parts[0]:
+            changed_at = min(now, max(self._seats.main_until, float('-inf')))
+        floor = self.board.timing.floor
+        part = (1 - floor if parts[0] else 0.0) + (floor if parts[1] else 0.0)
+        fraction = part / len(seats_of(text))
+        for organisation_id, organisation in text.organisations.items():
+            account = self._accounts.get(organisation_id)
+            is_new = account is None
+            if account is None:
+                account = _Account(ResourceId(organisation_id), now)
+                self._accounts[organisation_id] = account
+            account.allotment.set_base(
+                organisation.rate_per_s * fraction,
+                organisation.burst * fraction,
+                changed_at if changed_at > float('-inf') else now,
+                is_full=is_new and self._seats.is_fresh and parts[0],
+            )
+        for organisation_id, account in self._accounts.items():
+            if organisation_id not in text.organisations:
+                account.allotment.set_base(0.0, 0.0, now)
+        self._parts = parts
+        self._text_number = self.board.text_number
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/membership.py
@@ -0,0 +1,145 @@
+"""Who else is alive: the platform's lagging list together with direct evidence."""
+
+import random
+from collections.abc import Iterator, Mapping
+
+from fescuequay_core.blackboard import Blackboard, PeerView
+from fescuequay_core.commands import AnswerPeer, Command, Incident, ReadMembers, SendPeer
+from fescuequay_core.controller import Controller, Handler, Timer
+from fescuequay_core.events import Event, MembersRead, PeerFailed, PeerHeard, Tick
+from fescuequay_core.messages import Heartbeat
+from fescuequay_core.types import InstanceId, Instant, TargetId
+
+#: Peers whose evidence goes into one heartbeat; keeps its size independent of the fleet's.
+_MAX_HEARD = 16
+
+#: A peer that neither the list nor anybody's evidence shows is forgotten after this many timeouts.
+_FORGET_AFTER_TIMEOUTS = 4
+
+
+class MembershipController(Controller):
+    """Sends heartbeats to a few peers an interval and judges who can be reached.
+
+    A peer is written off only when the platform's list no longer shows it, or when this instance and
+    the latest evidence of others agree that it is silent. One observer's failure only stops forwards.
+
+    :param board: The blackboard.
+    :param rng: Chooses the peers of each interval.
+    """
+
+    def __init__(self, board: Blackboard, rng: random.Random) -> None:
+        super().__init__(board)
+        self._rng = rng
+        self._members_timer = Timer(board.timing.members_poll_s)
+        self._heartbeat_timer = Timer(board.timing.heartbeat_s)
+        self._announced_version = 0
+        self._rotation: list[InstanceId] = []
+        self._evidence_at: dict[InstanceId, Instant] = {}
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """:returns: Handlers of the timer, the list and messages of peers."""
+        return {
+            Tick: self._on_tick,
+            MembersRead: self._on_members,
+            PeerHeard: self._on_peer,
+            PeerFailed: self._on_failed,
+        }
+
+    def is_reachable(self, peer: InstanceId, now: Instant) -> bool:
+        """:returns: Whether requests may be forwarded to a peer."""
+        view = self.board.peers_by_id.get(peer)
+        if view is None or view.heartbeat.is_leaving:
+            return False
+        return view.failing_since is None and now - view.heard_at < self.board.timing.peer_timeout_s
+
+    def heartbeat(self, now: Instant, *, with_record: bool = False) -> Heartbeat:
+        """Compose a heartbeat.
+
+        :param now: Present time.
+        :param with_record: Whether the receiver is thought to hold an older record.
+        :returns: The message.
+        """
+        board = self.board
+        age_s = board.view_age_s(now)
+        heard = sorted(board.peers_by_id.items(), key=lambda pair: pair[1].heard_at, reverse=True)
+        return Heartbeat(
+            sender=board.instance,
+            data_centre=board.identity.data_centre,
+            peer_address=board.identity.peer_address,
+            caller_address=board.identity.caller_address,
+            fleet_version=board.record.version,
+            confirmed_age_s=None if age_s == float('inf') else age_s,
+            is_leaving=board.is_stopping,
+            seat=board.seat,
+            record=board.record if with_record else None,
+            heard_ages_s={peer: now - view.heard_at for peer, view in heard[:_MAX_HEARD]},
+            silent_targets=tuple(self._silent_primaries(now)),
+        )
+
+    def _silent_primaries(self, now: Instant) -> Iterator[TargetId]:
+        for leader in self.board.record.leaders.values():
+            view = self.board.targets_by_id.get(leader.target)
+            if view is not None and view.failing_since is not None:
+                if now - view.failing_since > self.board.timing.suspect_after_s:
+                    yield leader.target
+
+    def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
+        if self._members_timer.is_due(now):
+            self._forget(now)
+            yield ReadMembers()
+        # A new version is told at once, so that nobody waits for its own next read.
+        is_news = self.board.record.version > self._announced_version
+        if self._heartbeat_timer.is_due(now) or is_news:
+            self._announced_version = self.board.record.version
+            yield from self._send_heartbeats(now)
+
+    def _send_heartbeats(self, now: Instant) -> Iterator[Command]:
+        addresses = self._addresses()
+        self._rotation = [peer for peer in self._rotation if peer in addresses]
+        if len(self._rotation) < self.board.timing.heartbeat_fanout:
+            fresh = [peer for peer in addresses if peer not in self._rotation]
+            self._rng.shuffle(fresh)
+            self._rotation.extend(fresh)
+        chosen = self._rotation[: self.board.timing.heartbeat_fanout]
+        self._rotation = self._rotation[len(chosen) :]
+        for peer in chosen:
+            view = self.board.peers_by_id.get(peer)
+            is_behind = view is None or view.heartbeat.fleet_version < self.board.record.version
+            yield SendPeer(peer, addresses[peer], self.heartbeat(now, with_record=is_behind))
+
+    def _addresses(self) -> dict[InstanceId, str]:
+        found = {peer: view.heartbeat.peer_address for peer, view in self.board.peers_by_id.items()}
+        found.update({member.instance: member.peer_address for member in self.board.members_by_id.values()})
+        found.pop(self.board.instance, None)
+        return found
+
+    def _on_members(self, event: MembersRead, now: Instant) -> Iterator[Command]:
+        self.board.members_by_id = {member.instance: member for member in event.members}
+        yield from ()
+
+    def _on_peer(self, event: PeerHeard, now: Instant) -> Iterator[Command]:
+        if not isinstance(event.message, Heartbeat) or event.message.sender == self.board.instance:
+            return
+        message = event.message
+        if event.sent_at is None:
+            yield AnswerPeer(self.heartbeat(now, with_record=message.fleet_version < self.board.record.version))
+        if message.sender not in self.board.peers_by_id:
+            yield Incident('peer_joined', message.sender, f'heartbeat from {message.data_centre}')
+        self.board.peers_by_id[message.sender] = PeerView(message, now)
+        for peer, age_s in message.heard_ages_s.items():
+            heard_at = now - age_s
+            self._evidence_at[peer] = max(heard_at, self._evidence_at.get(peer, heard_at))
+
+    def _on_failed(self, event: PeerFailed, now: Instant) -> Iterator[Command]:
+        view = self.board.peers_by_id.get(event.peer)
+        if view is not None and view.failing_since is None:
+            view.failing_since = now
+            yield Incident('peer_silent', event.peer, 'a message was not answered')
+
+    def _forget(self, now: Instant) -> None:
+        bound_s = self.board.timing.peer_timeout_s * _FORGET_AFTER_TIMEOUTS
+        for peer, view in tuple(self.board.peers_by_id.items()):
+            heard_at = max(view.heard_at, self._evidence_at.get(peer, float('-inf')))
+            if now - heard_at > bound_s and peer not in self.board.members_by_id:
+                self.board.peers_by_id.pop(peer)
+                self._evidence_at.pop(peer, None)
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/seats.py
@@ -0,0 +1,206 @@
+"""Seats: which instance holds which fixed part of the fleet's limits."""
+
+import hashlib
+import random
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from fescuequay_core.blackboard import Blackboard
+from fescuequay_core.commands import Command, Incident, ReadSeats, WriteSeat
+from fescuequay_core.config import Group, Text
+from fescuequay_core.controller import Controller, Handler, Timer
+from fescuequay_core.events import Event, Seat, SeatsRead, SeatWritten, Tick, WriteResult
+from fescuequay_core.types import DataCentreId, GroupId, Instant, SeatId
+
+#: Instances that hold connections to one group; the others forward to them.
+MAX_HOSTS: Final = 16
+
+_FOREVER: Final = float('inf')
+_NEVER: Final = float('-inf')
+
+#: Interval of looking for a free seat while none is held, in seconds.
+_SEARCH_S: Final = 1.0
+
+
+def seats_of(text: Text) -> tuple[SeatId, ...]:
+    """:returns: Every seat of a text, in a fixed order."""
+    return tuple(
+        SeatId(f'{data_centre}/{number}')
+        for data_centre in sorted(text.data_centres)
+        for number in range(text.data_centres[data_centre].seats)
+    )
+
+
+def data_centre_of(seat: SeatId) -> DataCentreId:
+    """:returns: The data centre of a seat."""
+    return DataCentreId(seat.rsplit('/', 1)[0])
+
+
+def hosts_of(text: Text, group_id: GroupId, group: Group) -> tuple[SeatId, ...]:
+    """Choose the seats whose holders keep connections to a group.
+
+    Rendezvous hashing keeps the choice stable when seats come and go. The best seat of each data
+    centre comes first, so that a cut-off data centre keeps a way to the targets that it contains.
+
+    :param text: The text.
+    :param group_id: The group.
+    :param group: Its description.
+    :returns: Host seats in a fixed order.
+    """
+    count = min(MAX_HOSTS, *(target.connections for target in group.targets.values()))
+    ranked = sorted(seats_of(text), key=lambda seat: _score(group_id, seat), reverse=True)
+    firsts: dict[DataCentreId, SeatId] = {}
+    for seat in ranked:
+        firsts.setdefault(data_centre_of(seat), seat)
+    first_seats = set(firsts.values())
+    others = (seat for seat in ranked if seat not in first_seats)
+    return (*firsts.values(), *others)[:count]
+
+
+def connection_share(hosts: tuple[SeatId, ...], seat: SeatId, connections: int) -> int:
+    """Divide the connections of a target among the hosts of its group.
+
+    :param hosts: Host seats of the group.
+    :param seat: One seat.
+    :param connections: Connections that the fleet may hold.
+    :returns: Connections that the holder of the seat may hold; the shares sum to the limit.
+    """
+    if seat not in hosts:
+        return 0
+    whole, rest = divmod(connections, len(hosts))
+    return whole + (1 if hosts.index(seat) < rest else 0)
+
+
+def _score(group_id: GroupId, seat: SeatId) -> bytes:
+    return hashlib.blake2b(f'{group_id}|{seat}'.encode(), digest_size=8).digest()
+
+
+class SeatController(Controller):
+    """Claims one seat of this data centre, renews its lease, and tells which parts of it may be used.
+
+    The main part lapses with a short lease, so that a replacement finds a seat soon. The floor lapses
+    with a long lease, so that a cut-off data centre goes on serving a share. Both leases count from
+    before the renewal was sent at the holder, and by the platform's clock at a claimant, which waits
+    longer by the drift bound and by the length of a loan.
+
+    :param board: The blackboard.
+    :param rng: Spreads the claims of instances that start together.
+    """
+
+    def __init__(self, board: Blackboard, rng: random.Random) -> None:
+        super().__init__(board)
+        self._rng = rng
+        self._search_timer = Timer(_SEARCH_S)
+        self._renew_timer = Timer(board.timing.seat_renew_s)
+        self._etag: str | None = None
+        self._claiming: Seat | None = None
+        self.usable_from: Instant = _FOREVER
+        self.main_until: Instant = _NEVER
+        self.floor_from: Instant = _FOREVER
+        self.floor_until: Instant = _NEVER
+        self.is_fresh = False
+        self._released_at: Instant | None = None
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """:returns: Handlers of the timer and of the platform's answers."""
+        return {Tick: self._on_tick, SeatsRead: self._on_seats, SeatWritten: self._on_written}
+
+    def has_main(self, now: Instant) -> bool:
+        """:returns: Whether the main part of the seat may be used."""
+        return self.usable_from <= now < self.main_until
+
+    def has_floor(self, now: Instant) -> bool:
+        """:returns: Whether the floor of the seat may be used."""
+        return max(self.usable_from, self.floor_from) <= now < self.floor_until
+
+    def release(self) -> Iterator[Command]:
+        """Give the seat back; it must not be used any more by this instance."""
+        seat, self.board.seat = self.board.seat, None
+        if seat is None:
+            return
+        floor_free_in_s = max(self.floor_from - self.usable_from, 0) if self.floor_from < _FOREVER else 0
+        self.main_until = self.floor_until = _NEVER
+        yield WriteSeat(seat, self.board.instance, self._etag, is_released=True, floor_free_in_s=floor_free_in_s)
+        yield Incident('seat_released', seat, 'the instance is stopping')
+
+    def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
+        board = self.board
+        board.has_main_share = self.has_main(now)
+        board.has_floor_share = self.has_floor(now)
+        if board.text is None or board.is_stopping:
+            return
+        if board.seat is None or now >= self.main_until:
+            if self._search_timer.is_due(now):
+                yield ReadSeats()
+        elif self._renew_timer.is_due(now):
+            yield self._write(board.seat, now)
+
+    def _write(self, seat: SeatId, now: Instant) -> WriteSeat:
+        floor_free_in_s = max(self.floor_from - now, 0) if self.floor_from < _FOREVER else 0
+        return WriteSeat(seat, self.board.instance, self._etag, floor_free_in_s=floor_free_in_s)
+
+    def _on_seats(self, event: SeatsRead, now: Instant) -> Iterator[Command]:
+        if self.board.text is None or self.board.is_stopping:
+            return
+        here = [seat for seat in seats_of(self.board.text) if data_centre_of(seat) == self.board.identity.data_centre]
+        rows = {row.seat: row for row in event.seats}
+        mine = next((row for row in event.seats if row.holder == self.board.instance and not row.is_released), None)
+        if mine is not None and mine.seat in here:
+            # An answer may have been lost after the claim took effect: the row tells.
+            self._etag = mine.etag
+            if self.board.seat == mine.seat:
+                yield self._write(mine.seat, now)
+            else:
+                yield from self._claim(mine, now)
+            return
+        if self.board.seat is not None and now < self.floor_until:
+            self._lose_main()
+        free = [rows.get(seat, Seat(seat, None, None, _FOREVER)) for seat in here]
+        free = [row for row in free if self._is_free(row)]
+        if free:
+            yield from self._claim(self._rng.choice(free), now)
+
+    def _lose_main(self) -> None:
+        # Another instance holds the seat; only the floor remains until the long lease ends.
+        self.main_until = _NEVER
+
+    def _is_free(self, row: Seat) -> bool:
+        timing = self.board.timing
+        return row.holder is None or row.is_released or row.age_s >= self._safe(timing.seat_lease_s + timing.loan_s)
+
+    def _safe(self, duration_s: float) -> float:
+        return duration_s * (1 + 2 * self.board.timing.drift)
+
+    def _claim(self, row: Seat, now: Instant) -> Iterator[Command]:
+        timing = self.board.timing
+        floor_free_in_s = max(row.floor_free_in_s - row.age_s, 0)
+        if row.holder is not None and not row.is_released:
+            floor_free_in_s = max(floor_free_in_s, self._safe(timing.floor_lease_s + timing.loan_s) - row.age_s)
+        self._claiming = row
+        yield WriteSeat(row.seat, self.board.instance, row.etag, floor_free_in_s=max(floor_free_in_s, 0))
+        self._claimed_floor_s = max(floor_free_in_s, 0)
+
+    def _on_written(self, event: SeatWritten, now: Instant) -> Iterator[Command]:
+        if event.outcome is not WriteResult.ACCEPTED:
+            self._claiming = None
+            self._search_timer.expire()
+            if event.outcome is WriteResult.CONFLICT and event.seat == self.board.seat:
+                yield ReadSeats()
+            return
+        timing = self.board.timing
+        claimed, self._claiming = self._claiming, None
+        if claimed is not None and claimed.seat == event.seat:
+            self._take_over(claimed, now)
+            yield Incident('seat_claimed', event.seat, 'free' if claimed.holder is None else 'left by another instance')
+        if self.board.seat == event.seat:
+            self._etag = event.etag
+            self.main_until = max(self.main_until, event.started_at + timing.seat_lease_s)
+            self.floor_until = max(self.floor_until, event.started_at + timing.floor_lease_s)
+
+    def _take_over(self, row: Seat, now: Instant) -> None:
+        self.board.seat = row.seat
+        self.is_fresh = row.holder is None
+        wait_s = 0 if self.is_fresh else self._safe(self.board.timing.loan_s)
+        self.usable_from = now + wait_s
+        self.floor_from = now + self._safe(self._claimed_floor_s)
+        self.main_until = self.floor_until = _NEVER
--- /dev/null
+++ b/packages/fescuequay-ctl/fescuequay_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/fescuequay-ctl/fescuequay_ctl/operations.py
@@ -0,0 +1,238 @@
+"""What operators do to a fleet, as a library; the command line is a thin layer above it."""
+
+import asyncio
+import dataclasses
+import secrets
+import time
+from collections.abc import Iterator
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from fescuequay_core import config, jsonc, keys
+from fescuequay_core.events import Member, WriteResult
+from fescuequay_core.exceptions import FescuequayError, TextError
+from fescuequay_core.fleet import Applied, ApplyText, FleetRecord, decode_record, with_write_id
+from fescuequay_core.types import KeyDigest
+from fescuequay_entry.platform import HttpPlatform, PlatformError
+from fescuequay_entry.platform_actions import FLEET_ROW
+
+_MAX_TRIES: Final = 20
+_RETRY_S: Final = 0.1
+_KEY_BYTES: Final = 32
+
+
+class InvalidTextError(FescuequayError):
+    """The text has faults.
+
+    :param faults: Every one of them.
+    """
+
+    def __init__(self, faults: tuple[config.Fault, ...]) -> None:
+        super().__init__(f'the text has {len(faults)} faults')
+        self.faults = faults
+
+
+class LostRaceError(FescuequayError):
+    """Another text was applied since the one that the operator read.
+
+    :param expected: Number of the text that the operator read.
+    :param winner: The text in force now.
+    :param differences: How the text in force differs from the one that was to be applied.
+    """
+
+    def __init__(self, expected: int, winner: Applied | None, differences: tuple[str, ...]) -> None:
+        number = winner.number if winner else 0
+        author = winner.author if winner else 'nobody'
+        super().__init__(f'text {expected} is no longer in force: text {number}, applied by {author}, is')
+        self.winner = winner
+        self.differences = differences
+
+
+class WaitError(FescuequayError):
+    """Some instances did not take the text in time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceReport:
+    """What one instance said of itself.
+
+    :param member: The instance.
+    :param state: Its status, or nothing when it did not answer.
+    """
+
+    member: Member
+    state: dict[str, Any] | None
+
+
+class Operations:
+    """One operator's session with a fleet; collaborates with the platform and the instances.
+
+    :param http: Client session.
+    :param platform: Base address of the platform.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession, platform: str) -> None:
+        self._http = http
+        self._platform = HttpPlatform(http, platform, 'operator')
+
+    async def record(self) -> FleetRecord:
+        """:returns: The fleet record.
+
+        :raises PlatformError: when the platform does not answer.
+        """
+        return (await self._read())[0]
+
+    async def text_in_force(self) -> tuple[int, bytes]:
+        """:returns: The number and the bytes of the text in force; 0 and nothing when there is none."""
+        record = await self.record()
+        if record.text is None:
+            return 0, b''
+        return record.text.number, await self._platform.get(record.text.digest)
+
+    async def apply(self, raw: bytes, author: str, expected: int | None) -> Applied:
+        """Put a text in force.
+
+        :param raw: The text.
+        :param author: Who applies it.
+        :param expected: Number of the text that the operator read; nothing takes the one in force now.
+        :returns: The applied text.
+        :raises InvalidTextError: when the text has faults.
+        :raises LostRaceError: when another text won.
+        :raises PlatformError: when the platform does not answer.
+        """
+        checked(raw)
+        digest = await self._platform.put(raw)
+        write_id = f'operator.{secrets.token_hex(8)}'
+        record, etag = await self._read()
+        number = record.text.number if record.text else 0
+        proposal = ApplyText(number if expected is None else expected, digest, author, time.time())
+        for _ in range(_MAX_TRIES):
+            if write_id in record.write_ids:
+                return _applied(record, digest)
+            changed = proposal.apply_to(record)
+            if changed is None:
+                raise await self._lost(proposal.expected, record, raw)
+            outcome, _ = await self._platform.write(
+                FLEET_ROW, msgspec.json.encode(with_write_id(changed, write_id)), etag
+            )
+            if outcome is not WriteResult.ACCEPTED:
+                await asyncio.sleep(_RETRY_S)
+            # The record tells whether a write whose answer was lost took effect.
+            record, etag = await self._read()
+        raise PlatformError(f'the platform did not confirm the write {write_id}; `show` tells what is in force')
+
+    async def wait(self, number: int, timeout_s: float) -> float:
+        """Wait until every listed instance has a text in force.
+
+        :param number: Number of the text.
+        :param timeout_s: Longest wait.
+        :returns: How long it took, in seconds.
+        :raises WaitError: when some did not take it; the message names them.
+        """
+        started_at = time.monotonic()
+        while True:
+            reports = await self.reports()
+            late = [str(report.member.instance) for report in reports if not _has_text(report, number)]
+            elapsed_s = time.monotonic() - started_at
+            if not late:
+                return elapsed_s
+            if elapsed_s > timeout_s:
+                raise WaitError(f'text {number} is not confirmed by {", ".join(late)} after {elapsed_s:.1f} s')
+            await asyncio.sleep(_RETRY_S)
+
+    async def reports(self) -> list[InstanceReport]:
+        """:returns: What each listed instance says of itself."""
+        members = await self._platform.members()
+        states = await asyncio.gather(*(self._ask(member, '/status') for member in members))
+        return [InstanceReport(member, state) for member, state in zip(members, states, strict=True)]
+
+    async def explain(self, subject: str) -> list[dict[str, Any]]:
+        """Collect what the instances remember of a subject.
+
+        :param subject: A request, group, organisation, target or instance.
+        :returns: Incidents of every instance that answers, oldest first.
+        """
+        members = await self._platform.members()
+        found = await asyncio.gather(*(self._ask(member, f'/explain/{subject}') for member in members))
+        entries = [entry for entries in found if entries for entry in entries]
+        return sorted(entries, key=lambda entry: -float(entry['ago_s']))
+
+    async def _ask(self, member: Member, path: str) -> Any:
+        timeout = aiohttp.ClientTimeout(total=2)
+        try:
+            async with self._http.get(f'http://{member.peer_address}{path}', timeout=timeout) as answer:
+                return msgspec.json.decode(await answer.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, msgspec.DecodeError):
+            return None
+
+    async def _read(self) -> tuple[FleetRecord, str | None]:
+        row = await self._platform.read(FLEET_ROW, None)
+        return (decode_record(row.body) if row.body is not None else FleetRecord()), row.etag
+
+    async def _lost(self, expected: int, record: FleetRecord, raw: bytes) -> LostRaceError:
+        winner = record.text
+        current = await self._platform.get(winner.digest) if winner else b'{}'
+        return LostRaceError(expected, winner, tuple(differences(current, raw)))
+
+
+def checked(raw: bytes) -> config.Text:
+    """:returns: The text.
+
+    :param raw: Its bytes.
+    :raises InvalidTextError: when it has faults.
+    """
+    text, faults = config.load(raw)
+    if text is None:
+        raise InvalidTextError(faults)
+    return text
+
+
+def new_key() -> tuple[str, KeyDigest]:
+    """:returns: A new key and the digest for the text."""
+    key = keys.from_random(secrets.token_bytes(_KEY_BYTES))
+    return key, keys.digest_of(key)
+
+
+def differences(old: bytes, new: bytes) -> Iterator[str]:
+    """Compare two texts by value, not by layout.
+
+    :param old: One text; nothing counts as an empty one.
+    :param new: The other.
+    :returns: One line a difference: path, old and new value.
+    """
+    yield from _compare(_plain(old), _plain(new), '')
+
+
+def _plain(raw: bytes) -> object:
+    try:
+        return jsonc.decode_text(raw or b'{}')[0]
+    except TextError as error:
+        raise InvalidTextError((config.Fault(error.line, '', str(error)),)) from None
+
+
+def _compare(old: object, new: object, path: str) -> Iterator[str]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in sorted({**old, **new}):
+            name = f'{path}.{key}' if path else key
+            if key not in new:
+                yield f'- {name}: {_short(old[key])}'
+            elif key not in old:
+                yield f'+ {name}: {_short(new[key])}'
+            else:
+                yield from _compare(old[key], new[key], name)
+    elif old != new:
+        yield f'~ {path}: {_short(old)} -> {_short(new)}'
+
+
+def _short(value: object) -> str:
+    return msgspec.json.encode(value).decode()
+
+
+def _applied(record: FleetRecord, digest: str) -> Applied:
+    return next(text for text in (record.text, *record.history) if text is not None and text.digest == digest)
+
+
+def _has_text(report: InstanceReport, number: int) -> bool:
+    return report.state is not None and int(report.state['text_number']) >= number
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: adapters around the core."""
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/config.py
@@ -0,0 +1,107 @@
+"""Settings of one instance, read from a file in JSON with comments."""
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from fescuequay_core import jsonc
+from fescuequay_core.exceptions import FescuequayError, TextError
+from fescuequay_core.settings import Timing
+
+_Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1 << 30)]
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
+class SettingsError(FescuequayError):
+    """The settings file cannot be used; the message names the file and the value."""
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that one instance must be told.
+
+    :param instance: Name of the instance; a new suffix is added at each start.
+    :param data_centre: Its data centre.
+    :param callers: IP number and port for callers; port 0 takes a free one.
+    :param peers: IP number and port for peers, operators and metrics.
+    :param platform: Base address of the platform's service.
+    :param secrets: Hexadecimal secrets of at least 32 digits, equal at every instance; the first one signs.
+    :param log_level: Least level of log lines.
+    :param max_body_bytes: Largest request.
+    :param max_answer_bytes: Largest answer.
+    :param body_timeout_s: Longest wait for a request's body.
+    :param default_timeout_s: Deadline of requests that state none.
+    :param max_timeout_s: Longest deadline that a request may state.
+    :param connection_idle_s: Silence after which a pooled connection is tested before use.
+    :param drain_notice_s: Time between being not ready and refusing new requests.
+    :param timing: Intervals and bounds of the core.
+    """
+
+    instance: str
+    data_centre: str
+    platform: str
+    secrets: tuple[str, ...]
+    callers: str = '127.0.0.1:0'
+    peers: str = '127.0.0.1:0'
+    log_level: str = 'INFO'
+    max_body_bytes: _Bytes = 1024 * 1024
+    max_answer_bytes: _Bytes = 16 * 1024 * 1024
+    body_timeout_s: _Seconds = 5.0
+    default_timeout_s: _Seconds = 5.0
+    max_timeout_s: _Seconds = 60.0
+    connection_idle_s: _Seconds = 5.0
+    drain_notice_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 1.5
+    timing: Timing = Timing()
+
+    def secret_bytes(self) -> tuple[bytes, ...]:
+        """:returns: The secrets as bytes."""
+        return tuple(bytes.fromhex(secret) for secret in self.secrets)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read a settings file.
+
+    :param path: The file.
+    :returns: The settings.
+    :raises SettingsError: when the file cannot be used.
+    """
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        raise SettingsError(f'the settings file {path} cannot be read: {error.strerror}') from None
+    try:
+        plain, _ = jsonc.decode_text(raw)
+        settings = msgspec.convert(plain, Settings)
+    except TextError as error:
+        raise SettingsError(f'{path}:{error.line}: {error}') from None
+    except msgspec.ValidationError as error:
+        raise SettingsError(f'{path}: {error}') from None
+    _check(path, settings)
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """:returns: The host and the port of an address."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def _check(path: pathlib.Path, settings: Settings) -> None:
+    for name in ('callers', 'peers'):
+        address = getattr(settings, name)
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdigit() or int(port) > 65535:
+            raise SettingsError(f'{path}: {name}: {address!r} is not an IP number with a port')
+    if not settings.secrets:
+        raise SettingsError(f'{path}: secrets: at least one secret is needed')
+    for secret in settings.secrets:
+        try:
+            is_long = len(bytes.fromhex(secret)) >= 16
+        except ValueError:
+            is_long = False
+        if not is_long:
+            raise SettingsError(f'{path}: secrets: a secret has at least 32 hexadecimal digits')
+    if not settings.platform.startswith('http'):
+        raise SettingsError(f'{path}: platform: {settings.platform!r} is not an http address')
+    if settings.timing.permit_s <= settings.timing.fleet_poll_s:
+        raise SettingsError(f'{path}: timing.permit_s must be longer than timing.fleet_poll_s')
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/daemon.py
@@ -0,0 +1,219 @@
+"""The host of the core: one event loop, the adapters, and the two listeners."""
+
+import asyncio
+import os
+import time
+import uuid
+from collections.abc import Coroutine
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+from reactivex.scheduler.eventloop import AsyncIOScheduler
+
+from fescuequay_core import commands, events, verdicts
+from fescuequay_core.control import Core
+from fescuequay_core.messages import PeerMessage
+from fescuequay_core.requests import Answer, Request
+from fescuequay_core.settings import Identity
+from fescuequay_core.types import Digest, RequestId, Verdict
+from fescuequay_core.verdicts import Refusal
+from fescuequay_entry.callers import CallersApi
+from fescuequay_entry.config import Settings, split_address
+from fescuequay_entry.internal import InternalApi
+from fescuequay_entry.metrics import Metrics
+from fescuequay_entry.observers import Observers
+from fescuequay_entry.peers import PeerClient, PeerError
+from fescuequay_entry.platform import HttpPlatform
+from fescuequay_entry.platform_actions import PlatformActions
+from fescuequay_entry.postgres import PostgresDriver
+from fescuequay_entry.streams import Streams
+from fescuequay_entry.target_actions import TargetActions
+
+#: Longest wait for a peer's answer, in seconds.
+_MAX_PEER_WAIT_S: Final = 2.0
+
+#: Time that an idle connection of a caller is kept, in seconds.
+_KEEP_ALIVE_S: Final = 75
+
+#: Time beyond its deadline after which a request without an answer is given up, in seconds.
+_ANSWER_MARGIN_S: Final = 2.0
+
+
+class Daemon:
+    """One entry instance.
+
+    Events go to the core one at a time, on the loop's thread; its commands are carried out by tasks
+    whose results come back as events.
+
+    :param settings: Settings of the instance.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.instance = f'{settings.instance}-{uuid.uuid4().hex[:6]}'
+        self.stopped = asyncio.Event()
+        self.is_leaving = False
+        self.metrics = Metrics()
+        self._answers_by_request: dict[RequestId, asyncio.Future[Answer]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._runners: list[web.AppRunner] = []
+        self._peer_answer: commands.AnswerPeer | None = None
+
+    async def start(self) -> None:
+        """Open the listeners and begin."""
+        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10))
+        secrets = self.settings.secret_bytes()
+        self._peers = PeerClient(self._http, secrets, min(self.settings.timing.peer_timeout_s, _MAX_PEER_WAIT_S))
+        callers = CallersApi(self.settings, self.submit, self.is_ready, lambda: self.is_leaving)
+        callers_address = await self._listen(callers.application(), self.settings.callers)
+        internal = InternalApi(self, secrets)
+        peers_address = await self._listen(internal.application(), self.settings.peers)
+        identity = Identity(self.instance, self.settings.data_centre, peers_address, callers_address)
+        self.core = Core(identity, self.settings.timing, secrets, int.from_bytes(os.urandom(8)))
+        self._targets = TargetActions(PostgresDriver(), self.settings, self.post)
+        here = self.settings.data_centre
+        platform = HttpPlatform(self._http, self.settings.platform, here)
+        self._store = PlatformActions(platform, self._peers, here, self.metrics, self.post)
+        self._observers = Observers(self.metrics, self.core, self._targets.pools_by_target)
+        self._actions = self._make_actions()
+        loop = asyncio.get_running_loop()
+        self._streams = Streams(AsyncIOScheduler(loop), self.settings.timing.tick_s, self.post)
+        self._streams.start()
+        self._observers.started(callers_address, peers_address)
+
+    async def stop(self) -> None:
+        """Leave gracefully: not ready first, then no new requests, then the rest finishes."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        # Callers go on arriving until the balancer has noticed.
+        await asyncio.sleep(self.settings.drain_notice_s)
+        self.post(events.StopRequested())
+        await self.stopped.wait()
+        self._streams.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._targets.close()
+        await self._http.close()
+
+    def is_ready(self) -> bool:
+        """:returns: Whether new callers should come."""
+        return not self.is_leaving and self.core.is_ready(time.monotonic())
+
+    def post(self, event: events.Event) -> None:
+        """Give the core an event and carry out its commands.
+
+        :param event: What happened.
+        """
+        for command in self.core.handle(event, time.monotonic()):
+            self._actions[type(command)](command)
+
+    async def submit(self, request: Request) -> Answer:
+        """Run a request.
+
+        :param request: The request.
+        :returns: Its final answer.
+        """
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._answers_by_request[request.request_id] = future
+        started_at = time.monotonic()
+        self.post(events.RequestArrived(request))
+        try:
+            async with asyncio.timeout(max(request.deadline - started_at, 0) + _ANSWER_MARGIN_S):
+                answer = await future
+        except TimeoutError:
+            refusal = Refusal(verdicts.INTERNAL, Verdict.MAY_HAVE_RUN, 'the request was lost inside the instance')
+            answer = Answer(request.request_id, refusal=refusal)
+        finally:
+            self._answers_by_request.pop(request.request_id, None)
+        self._observers.answered(request, answer, time.monotonic() - started_at)
+        return answer
+
+    def message(self, message: PeerMessage) -> PeerMessage | None:
+        """Handle a message of a peer.
+
+        :param message: The message.
+        :returns: The answer, if there is one.
+        """
+        self._peer_answer = None
+        self.post(events.PeerHeard(message))
+        return self._peer_answer.message if self._peer_answer else None
+
+    def packed_object(self, digest: Digest) -> bytes | None:
+        """:returns: An object that this instance holds, as stored."""
+        return self._store.packed_object(digest)
+
+    def refresh_gauges(self) -> None:
+        """Bring the gauges up to date before they are read."""
+        self._observers.refresh_gauges()
+
+    async def _listen(self, app: web.Application, address: str) -> str:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=5, keepalive_timeout=_KEEP_ALIVE_S)
+        await runner.setup()
+        host, port = split_address(address)
+        site = web.TCPSite(runner, host, port, backlog=1024)
+        await site.start()
+        self._runners.append(runner)
+        return f'{host}:{runner.addresses[0][1]}'
+
+    def _make_actions(self) -> dict[type[commands.Command], Any]:
+        return {
+            commands.ReadFleet: lambda command: self._spawn(self._store.read_fleet(command)),
+            commands.WriteFleet: lambda command: self._spawn(self._store.write_fleet(command)),
+            commands.ReadObject: lambda command: self._spawn(self._store.read_object(command)),
+            commands.ReadMembers: lambda command: self._spawn(self._store.read_members()),
+            commands.ReadSeats: lambda command: self._spawn(self._store.read_seats()),
+            commands.WriteSeat: lambda command: self._spawn(self._store.write_seat(command)),
+            commands.SendPeer: lambda command: self._spawn(self._send_peer(command)),
+            commands.AnswerPeer: self._answer_peer,
+            commands.Forward: lambda command: self._spawn(self._forward(command)),
+            commands.ProbeTarget: lambda command: self._spawn(self._targets.probe(command)),
+            commands.FenceTarget: lambda command: self._spawn(self._targets.fence(command)),
+            commands.PromoteTarget: lambda command: self._spawn(self._targets.promote(command)),
+            commands.SizePool: self._targets.size_pool,
+            commands.Execute: lambda command: self._spawn(self._targets.execute(command)),
+            commands.Reply: self._reply,
+            commands.Incident: lambda command: self._observers.incident(command),
+            commands.Stopped: lambda command: self.stopped.set(),
+        }
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._observers.fault(task.exception())
+
+    def _reply(self, command: commands.Reply) -> None:
+        future = self._answers_by_request.get(command.answer.request_id)
+        if future is not None and not future.done():
+            future.set_result(command.answer)
+
+    def _answer_peer(self, command: commands.AnswerPeer) -> None:
+        self._peer_answer = command
+
+    async def _send_peer(self, command: commands.SendPeer) -> None:
+        sent_at = time.monotonic()
+        try:
+            answer = await self._peers.send(command.address, command.message)
+        except PeerError:
+            self.post(events.PeerFailed(command.peer))
+            return
+        if answer is not None:
+            self.post(events.PeerHeard(answer, sent_at))
+
+    async def _forward(self, command: commands.Forward) -> None:
+        name = command.request.request_id
+        try:
+            answer = await self._peers.forward(command.address, command.request)
+        except PeerError as error:
+            self.post(events.ForwardEnded(name, None, error.may_have_run))
+            return
+        self.post(events.ForwardEnded(name, answer))
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/execution.py
@@ -0,0 +1,283 @@
+"""Runs requests at targets and says exactly whether they may have run."""
+
+import asyncio
+import time
+from typing import Final
+
+import msgspec
+
+from fescuequay_core import verdicts
+from fescuequay_core.commands import Execute
+from fescuequay_core.exceptions import FescuequayError
+from fescuequay_core.requests import Outcome, Request, ResultSet, Statement
+from fescuequay_core.types import RequestKind, TargetId, TransactionId, Verdict
+from fescuequay_core.verdicts import Reason, Refusal
+from fescuequay_entry.driver import AnswerTooLargeError, ConnectError, Connection, TargetError
+from fescuequay_entry.pool import Pool
+
+#: Even a request whose deadline has passed gets an orderly end, in seconds.
+_LEAST_TIMEOUT_S: Final = 0.001
+
+_BEGIN: Final = Statement('begin')
+_BEGIN_READ_ONLY: Final = Statement('begin read only')
+_COMMIT: Final = Statement('commit')
+_ROLLBACK: Final = Statement('rollback')
+
+_CREATE_RECORDS: Final = Statement(
+    'create table if not exists fescuequay_idempotency ('
+    'organisation text not null, idempotency_key text not null, fingerprint text not null, '
+    'answer text not null, primary key (organisation, idempotency_key))'
+)
+_INSERT_RECORD: Final = (
+    'insert into fescuequay_idempotency (organisation, idempotency_key, fingerprint, answer) '
+    "values ($1, $2, $3, '') on conflict do nothing"
+)
+_UPDATE_RECORD: Final = 'update fescuequay_idempotency set answer = $3 where organisation = $1 and idempotency_key = $2'
+_SELECT_RECORD: Final = (
+    'select fingerprint, answer from fescuequay_idempotency where organisation = $1 and idempotency_key = $2'
+)
+
+#: Answers to statements that end a transaction.
+_ENDING_TAGS: Final = frozenset(('COMMIT', 'ROLLBACK', 'PREPARE'))
+
+
+class _KeyReusedError(Exception):
+    """An idempotency key came again with other statements."""
+
+
+class _Repeat(Exception):  # noqa: N818
+    """An idempotency record holds the first answer."""
+
+    def __init__(self, results: tuple[ResultSet, ...]) -> None:
+        super().__init__()
+        self.results = results
+
+
+class _ResultRows(msgspec.Struct, frozen=True):
+    rows: list[list[object]]
+    row_count: int = 0
+
+
+class Executor:
+    """Carries out ``Execute`` commands; collaborates with one pool a target.
+
+    :param pools_by_target: Pools, kept up to date by the host.
+    """
+
+    def __init__(self, pools_by_target: dict[TargetId, Pool]) -> None:
+        self._pools = pools_by_target
+        self._connections_by_transaction: dict[TransactionId, tuple[Connection, Pool]] = {}
+
+    async def run(self, command: Execute) -> Outcome:
+        """Run one request until its deadline.
+
+        :param command: What to run.
+        :returns: How it ended; never raises for anything that a target does.
+        """
+        progress = _Progress()
+        remaining_s = max(command.request.deadline - time.monotonic(), _LEAST_TIMEOUT_S)
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._run_kind(command, progress)
+        except _Repeat as repeat:
+            return Outcome(Verdict.RAN, repeat.results, is_repeat=True)
+        except TimeoutError:
+            detail = f'the target {command.target!r} did not answer before the deadline'
+            return _failed(verdicts.DEADLINE, progress.verdict, detail)
+        except (FescuequayError, _EscapedError, _KeyReusedError) as error:
+            return _outcome_of(error, progress)
+
+    async def _run_kind(self, command: Execute, progress: '_Progress') -> Outcome:
+        kind = command.request.kind
+        if kind in {RequestKind.STATEMENT, RequestKind.BATCH}:
+            return await self._run_whole(command, progress)
+        if kind is RequestKind.BEGIN:
+            return await self._begin(command)
+        return await self._continue(command, progress)
+
+    async def _run_whole(self, command: Execute, progress: '_Progress') -> Outcome:
+        pool = self._pool(command.target)
+        connection = await pool.acquire()
+        try:
+            results = await self._run_on(connection, command, progress)
+        except (TargetError, _KeyReusedError, _Repeat):
+            pool.release(connection)
+            raise
+        except asyncio.CancelledError:
+            pool.abandon(connection)
+            pool.suspect()
+            raise
+        except BaseException:
+            pool.discard(connection)
+            pool.suspect()
+            raise
+        pool.release(connection)
+        return Outcome(Verdict.RAN, results)
+
+    async def _run_on(self, connection: Connection, command: Execute, progress: '_Progress') -> tuple[ResultSet, ...]:
+        request = command.request
+        is_bare = len(request.statements) == 1 and not command.is_read_only and request.idempotency_key is None
+        if is_bare and request.kind is RequestKind.STATEMENT:
+            progress.is_open_ended = True
+            return (await connection.execute(request.statements[0]),)
+        await connection.execute(_BEGIN_READ_ONLY if command.is_read_only else _BEGIN)
+        progress.is_in_transaction = True
+        try:
+            results = await _run_statements(connection, command)
+        except (TargetError, AnswerTooLargeError, _Repeat, _KeyReusedError):
+            await connection.execute(_ROLLBACK)
+            raise
+        progress.is_open_ended = not command.is_read_only
+        await connection.execute(_COMMIT)
+        return results
+
+    async def _begin(self, command: Execute) -> Outcome:
+        pool = self._pool(command.target)
+        connection = await pool.acquire()
+        try:
+            await connection.execute(_BEGIN_READ_ONLY if command.is_read_only else _BEGIN)
+        except BaseException:
+            pool.discard(connection)
+            raise
+        if command.transaction is not None:
+            self._connections_by_transaction[command.transaction] = (connection, pool)
+        return Outcome(Verdict.RAN)
+
+    async def _continue(self, command: Execute, progress: '_Progress') -> Outcome:
+        name = command.transaction
+        held = self._connections_by_transaction.get(name) if name is not None else None
+        if held is None or name is None:
+            return _failed(verdicts.UNKNOWN_TRANSACTION, Verdict.NOT_RUN, f'there is no open transaction {name!r}')
+        connection, pool = held
+        progress.is_in_transaction = True
+        try:
+            outcome = await self._run_bound(connection, command.request, progress)
+        except TargetError:
+            if command.request.kind is not RequestKind.IN_TRANSACTION:
+                self._end(name)
+            raise
+        except BaseException:
+            self._connections_by_transaction.pop(name, None)
+            pool.abandon(connection)
+            raise
+        if command.request.kind is not RequestKind.IN_TRANSACTION:
+            self._end(name)
+        return outcome
+
+    async def _run_bound(self, connection: Connection, request: Request, progress: '_Progress') -> Outcome:
+        if request.kind is RequestKind.ROLLBACK:
+            await connection.execute(_ROLLBACK)
+            return Outcome(Verdict.RAN)
+        if request.kind is RequestKind.COMMIT:
+            return await _commit(connection, progress)
+        return Outcome(Verdict.RAN, await _run_contained(connection, request.statements))
+
+    def _end(self, name: TransactionId) -> None:
+        held = self._connections_by_transaction.pop(name, None)
+        if held is not None:
+            held[1].release(held[0])
+
+    def _pool(self, target: TargetId) -> Pool:
+        pool = self._pools.get(target)
+        if pool is None:
+            raise ConnectError(f'this instance holds no connections to {target!r}')
+        return pool
+
+
+class _EscapedError(Exception):
+    """A statement ended its transaction or changed the session of its connection."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        super().__init__('a statement may not begin or end transactions or change settings of the connection')
+        self.verdict = verdict
+
+
+class _Progress:
+    """How far an execution got, for an exact verdict."""
+
+    def __init__(self) -> None:
+        self.is_in_transaction = False
+        self.is_open_ended = False
+
+    @property
+    def verdict(self) -> Verdict:
+        """:returns: The verdict when the connection ends now.
+
+        What a target did in a transaction whose commit was never sent is rolled back by the target.
+        """
+        return Verdict.MAY_HAVE_RUN if self.is_open_ended else Verdict.NOT_RUN
+
+    @property
+    def verdict_of_large_answer(self) -> Verdict:
+        """:returns: The verdict when an answer was too large."""
+        return Verdict.NOT_RUN if self.is_in_transaction else Verdict.RAN
+
+
+async def _run_statements(connection: Connection, command: Execute) -> tuple[ResultSet, ...]:
+    request = command.request
+    if request.idempotency_key is None or command.is_read_only:
+        return await _run_contained(connection, request.statements)
+    names = (command.organisation, request.idempotency_key)
+    await connection.execute(_CREATE_RECORDS)
+    inserted = await connection.execute(Statement(_INSERT_RECORD, (*names, request.fingerprint)))
+    if msgspec.json.decode(inserted.body, type=_ResultRows).row_count == 0:
+        await _raise_repeat(connection, names, request.fingerprint)
+    results = await _run_contained(connection, request.statements)
+    answer = msgspec.json.encode([msgspec.Raw(result.body) for result in results]).decode()
+    await connection.execute(Statement(_UPDATE_RECORD, (*names, answer)))
+    return results
+
+
+async def _run_contained(connection: Connection, statements: tuple[Statement, ...]) -> tuple[ResultSet, ...]:
+    """Run statements of one transaction; none may leave it or make a read-only one writable."""
+    results = []
+    for statement in statements:
+        results.append(await connection.execute(statement))
+        if not connection.is_contained:
+            # Only the target's answer tells what a statement did, so the check comes after each one.
+            has_left = results[-1].tag in _ENDING_TAGS
+            raise _EscapedError(Verdict.MAY_HAVE_RUN if has_left else Verdict.NOT_RUN)
+    return tuple(results)
+
+
+async def _raise_repeat(connection: Connection, names: tuple[str, str], fingerprint: str) -> None:
+    found = await connection.execute(Statement(_SELECT_RECORD, names))
+    row = msgspec.json.decode(found.body, type=_ResultRows).rows[0]
+    if row[0] != fingerprint:
+        raise _KeyReusedError(f'the idempotency key {names[1]!r} was used with other statements')
+    bodies = msgspec.json.decode(str(row[1]), type=list[msgspec.Raw])
+    raise _Repeat(tuple(ResultSet(bytes(body)) for body in bodies))
+
+
+async def _commit(connection: Connection, progress: _Progress) -> Outcome:
+    progress.is_open_ended = True
+    result = await connection.execute(_COMMIT)
+    # A target answers COMMIT of a failed transaction with ROLLBACK.
+    if result.tag == 'ROLLBACK':
+        return _failed(verdicts.STATEMENT_FAILED, Verdict.NOT_RUN, 'the transaction had failed and was rolled back')
+    return Outcome(Verdict.RAN)
+
+
+def _outcome_of(error: Exception, progress: _Progress) -> Outcome:
+    if isinstance(error, TargetError):
+        return _rejected(error, progress)
+    if isinstance(error, ConnectError):
+        return _failed(verdicts.CONNECTION_LOST, Verdict.NOT_RUN, str(error), is_retryable=True)
+    if isinstance(error, AnswerTooLargeError):
+        return _failed(verdicts.ANSWER_TOO_LARGE, progress.verdict_of_large_answer, str(error))
+    if isinstance(error, _EscapedError):
+        return _failed(verdicts.BAD_REQUEST, error.verdict, str(error))
+    if isinstance(error, _KeyReusedError):
+        return _failed(verdicts.KEY_REUSED, Verdict.NOT_RUN, str(error))
+    return _failed(verdicts.CONNECTION_LOST, progress.verdict, str(error), is_retryable=True)
+
+
+def _rejected(error: TargetError, progress: _Progress) -> Outcome:
+    detail = f'{error} (SQLSTATE {error.code})'
+    if error.is_not_primary:
+        return _failed(verdicts.NO_PRIMARY, Verdict.NOT_RUN, detail, is_retryable=not progress.is_in_transaction)
+    return _failed(verdicts.STATEMENT_FAILED, Verdict.NOT_RUN, detail)
+
+
+def _failed(reason: Reason, verdict: Verdict, detail: str, *, is_retryable: bool = False) -> Outcome:
+    return Outcome(verdict, refusal=Refusal(reason, verdict, detail), is_retryable=is_retryable)
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/observers.py
@@ -0,0 +1,82 @@
+"""Turns what the instance does into log lines and metrics."""
+
+import logging
+import time
+from typing import Final
+
+from fescuequay_core.commands import Incident
+from fescuequay_core.control import Core
+from fescuequay_core.requests import Answer, Request
+from fescuequay_core.types import TargetId
+from fescuequay_entry.metrics import Metrics
+from fescuequay_entry.pool import Pool
+
+_LOG: Final = logging.getLogger('fescuequay')
+
+#: Incidents that happen too often for the default level.
+_QUIET: Final = frozenset(('allotment_borrowed', 'request_refused'))
+
+
+class Observers:
+    """Sees every incident and every answer; changes nothing.
+
+    :param metrics: Metrics of the instance.
+    :param core: The core, for gauges.
+    :param pools_by_target: Pools, for gauges.
+    """
+
+    def __init__(self, metrics: Metrics, core: Core, pools_by_target: dict[TargetId, Pool]) -> None:
+        self._metrics = metrics
+        self._core = core
+        self._pools = pools_by_target
+
+    def started(self, callers: str, peers: str) -> None:
+        """Log the addresses of the listeners."""
+        identity = self._core.board.identity
+        _info('started', instance=identity.instance, data_centre=identity.data_centre, callers=callers, peers=peers)
+
+    def incident(self, incident: Incident) -> None:
+        """Log and count an incident."""
+        self._metrics.incidents.labels(incident.name).inc()
+        level = logging.DEBUG if incident.name in _QUIET else logging.INFO
+        if _LOG.isEnabledFor(level):
+            pairs = {'subject': incident.subject, 'cause': incident.cause, **dict(incident.details)}
+            _LOG.log(level, incident.name, extra={'pairs': pairs})
+
+    def answered(self, request: Request, answer: Answer, elapsed_s: float) -> None:
+        """Log and measure an answer."""
+        outcome = answer.refusal.reason.code if answer.refusal else 'ok'
+        route_class = 'read' if request.is_read else 'write'
+        self._metrics.latency.labels(answer.organisation or 'unknown', route_class, outcome).observe(elapsed_s)
+        if request.is_read and answer.role is not None and answer.refusal is None:
+            self._metrics.served.labels(answer.role.value).inc()
+        if _LOG.isEnabledFor(logging.DEBUG):
+            pairs = {
+                'request': request.request_id,
+                'route': request.route,
+                'organisation': answer.organisation,
+                'outcome': outcome,
+                'target': answer.target or '',
+                'ms': f'{elapsed_s * 1000:.1f}',
+            }
+            _LOG.debug('answered', extra={'pairs': pairs})
+
+    def fault(self, error: BaseException | None) -> None:
+        """Log an error that no code expected."""
+        _LOG.error('internal_fault', exc_info=error)
+
+    def refresh_gauges(self) -> None:
+        """Bring the gauges up to date before they are read."""
+        now = time.monotonic()
+        board = self._core.board
+        self._metrics.in_flight.set(len(board.requests_by_id))
+        self._metrics.view_age.set(board.view_age_s(now))
+        self._metrics.fleet_version.set(board.record.version)
+        for target, pool in self._pools.items():
+            self._metrics.connections.labels(target).set(pool.open_count)
+        for organisation, share in self._core.shares(now).items():
+            self._metrics.tokens.labels(organisation).set(share[0])
+
+
+def _info(event: str, **pairs: object) -> None:
+    _LOG.info(event, extra={'pairs': pairs})
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/peers.py
@@ -0,0 +1,185 @@
+"""Messages between instances over HTTP, authenticated by the fleet's secret."""
+
+import asyncio
+import dataclasses
+import hashlib
+import hmac
+import time
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from fescuequay_core import messages
+from fescuequay_core.exceptions import FescuequayError, MessageError
+from fescuequay_core.messages import PeerMessage
+from fescuequay_core.requests import Answer, Request, ResultSet
+from fescuequay_core.types import Digest, Verdict
+from fescuequay_core.verdicts import INTERNAL, REASONS_BY_CODE, Refusal
+from fescuequay_entry.platform import PlatformError, check_object
+
+MAC_HEADER: Final = 'X-Fescuequay-Mac'
+
+
+class PeerError(FescuequayError):
+    """A peer did not answer.
+
+    :param message: What happened.
+    :param may_have_run: Whether the peer may have got the message.
+    """
+
+    def __init__(self, message: str, *, may_have_run: bool) -> None:
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class RefusalRow(msgspec.Struct, frozen=True):
+    """A refusal on the wire."""
+
+    code: str
+    verdict: Verdict
+    detail: str
+    retry_after_s: float | None
+
+
+class AnswerRow(msgspec.Struct, frozen=True):
+    """An answer on the wire."""
+
+    answer: Answer
+    bodies: tuple[str, ...]
+    refusal: RefusalRow | None
+
+
+class RequestRow(msgspec.Struct, frozen=True):
+    """A forwarded request on the wire; its deadline is relative, because clocks differ."""
+
+    request: Request
+    remaining_s: float
+
+
+def mac_of(body: bytes, secret: bytes) -> str:
+    """:returns: The authentication code of a message."""
+    return hashlib.blake2b(body, key=secret[:64], digest_size=16, person=b'fq-peer').hexdigest()
+
+
+def is_authentic(body: bytes, mac: str, secrets: tuple[bytes, ...]) -> bool:
+    """:returns: Whether one of the secrets made the code."""
+    return any(hmac.compare_digest(mac_of(body, secret), mac) for secret in secrets)
+
+
+class PeerClient:
+    """Sends messages to peers.
+
+    :param http: Client session.
+    :param secrets: Secrets of the fleet; the first one signs.
+    :param timeout_s: Longest wait for an answer to a message.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession, secrets: tuple[bytes, ...], timeout_s: float) -> None:
+        self._http = http
+        self._secrets = secrets
+        self._timeout_s = timeout_s
+
+    async def send(self, address: str, message: PeerMessage) -> PeerMessage | None:
+        """:returns: The answer, if the message has one.
+
+        :param address: Peer listener.
+        :param message: The message.
+        :raises PeerError: when there is no valid answer.
+        """
+        body = await self._post(address, '/peer/messages', messages.encode(message), self._timeout_s)
+        if not body:
+            return None
+        try:
+            return messages.decode(body)
+        except MessageError as error:
+            raise PeerError(str(error), may_have_run=True) from None
+
+    async def forward(self, address: str, request: Request) -> Answer:
+        """:returns: The answer of another instance.
+
+        :param address: Its peer listener.
+        :param request: The request.
+        :raises PeerError: when there is no valid answer.
+        """
+        remaining_s = max(request.deadline - time.monotonic(), 0.01)
+        raw = msgspec.json.encode(RequestRow(request, remaining_s))
+        # The other instance answers at the deadline at the latest; a little more covers the way back.
+        body = await self._post(address, '/peer/requests', raw, remaining_s + 0.25)
+        try:
+            return decode_answer(body)
+        except MessageError as error:
+            raise PeerError(str(error), may_have_run=True) from None
+
+    async def fetch(self, address: str, digest: Digest) -> bytes:
+        """:returns: An object that a peer holds.
+
+        :param address: Its peer listener.
+        :param digest: Name of the object.
+        :raises PeerError: when the peer does not have it.
+        """
+        packed = await self._post(address, '/peer/objects', str(digest).encode(), self._timeout_s)
+        try:
+            return check_object(digest, packed)
+        except PlatformError as error:
+            raise PeerError(str(error), may_have_run=False) from None
+
+    async def _post(self, address: str, path: str, body: bytes, timeout_s: float) -> bytes:
+        headers = {MAC_HEADER: mac_of(body, self._secrets[0])}
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._http.post(
+                f'http://{address}{path}', data=body, headers=headers, timeout=timeout
+            ) as answer:
+                answer_body = await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            raise PeerError(f'{address} cannot be reached: {error}', may_have_run=False) from None
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            raise PeerError(f'{address} did not answer: {type(error).__name__}', may_have_run=True) from None
+        if answer.status >= 300:
+            raise PeerError(f'{address} answered with status {answer.status}', may_have_run=answer.status >= 500)
+        return answer_body
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """:returns: An answer for another instance."""
+    refusal = None
+    if answer.refusal is not None:
+        given = answer.refusal
+        refusal = RefusalRow(given.reason.code, given.verdict, given.detail, given.retry_after_s)
+    bodies = tuple(result.body.decode() for result in answer.results)
+    return msgspec.json.encode(AnswerRow(dataclasses.replace(answer, results=(), refusal=None), bodies, refusal))
+
+
+def decode_answer(body: bytes) -> Answer:
+    """Decode the answer of another instance.
+
+    :param body: JSON.
+    :returns: The answer.
+    :raises MessageError: when it is not one.
+    """
+    try:
+        row = msgspec.json.decode(body, type=AnswerRow)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MessageError(f'the answer of a peer does not decode: {error}') from None
+    refusal = None
+    if row.refusal is not None:
+        reason = REASONS_BY_CODE.get(row.refusal.code, INTERNAL)
+        refusal = Refusal(reason, row.refusal.verdict, row.refusal.detail, row.refusal.retry_after_s)
+    results = tuple(ResultSet(text.encode()) for text in row.bodies)
+    return dataclasses.replace(row.answer, results=results, refusal=refusal)
+
+
+def decode_request(body: bytes, now: float) -> Request:
+    """Decode a forwarded request.
+
+    :param body: JSON.
+    :param now: Present monotonic time.
+    :returns: The request, with its deadline on this instance's clock.
+    :raises MessageError: when it is not one.
+    """
+    try:
+        row = msgspec.json.decode(body, type=RequestRow)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MessageError(f'the forwarded request does not decode: {error}') from None
+    return dataclasses.replace(row.request, deadline=now + row.remaining_s, is_charged=True)
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/platform.py
@@ -0,0 +1,227 @@
+"""The platform's services, behind abstract interfaces, and their HTTP client."""
+
+import abc
+import asyncio
+import dataclasses
+import hashlib
+import zlib
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from fescuequay_core.events import Member, WriteResult
+from fescuequay_core.exceptions import FescuequayError, MessageError
+from fescuequay_core.types import Digest, InstanceId
+
+_CONFLICT_STATUS: Final = 412
+_NOT_MODIFIED_STATUS: Final = 304
+_NOT_FOUND_STATUS: Final = 404
+
+#: Largest object after decompression, in bytes.
+_MAX_OBJECT_BYTES: Final = 8 * 1024 * 1024
+
+
+class PlatformError(FescuequayError):
+    """The platform did not answer, or with an error."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableRow:
+    """One row as read.
+
+    :param body: Its bytes; nothing when it has not changed.
+    :param etag: Its version; nothing when it does not exist.
+    :param age_s: Time since it last changed, by the platform's clock.
+    :param key: Its name.
+    """
+
+    body: bytes | None
+    etag: str | None
+    age_s: float = 0.0
+    key: str = ''
+
+
+class Table(abc.ABC):
+    """The transactional table service."""
+
+    @abc.abstractmethod
+    async def read(self, key: str, etag: str | None) -> TableRow:
+        """:returns: The row.
+
+        :param key: Name of the row.
+        :param etag: Version already held.
+        :raises PlatformError: when there is no answer.
+        """
+
+    @abc.abstractmethod
+    async def read_prefix(self, prefix: str) -> tuple[TableRow, ...]:
+        """:returns: Every row whose name begins so.
+
+        :param prefix: Beginning of the names.
+        :raises PlatformError: when there is no answer.
+        """
+
+    @abc.abstractmethod
+    async def write(self, key: str, body: bytes, etag: str | None) -> tuple[WriteResult, str | None]:
+        """:returns: What the platform said, and the new version; never raises.
+
+        :param key: Name of the row.
+        :param body: New bytes.
+        :param etag: Version that the row must have; nothing when it must not exist.
+        """
+
+
+class ObjectStore(abc.ABC):
+    """The store of immutable objects, named by their SHA-256."""
+
+    @abc.abstractmethod
+    async def get(self, digest: Digest) -> bytes:
+        """:returns: The object, checked against its name.
+
+        :param digest: Its name.
+        :raises PlatformError: when it cannot be had.
+        """
+
+    @abc.abstractmethod
+    async def put(self, body: bytes) -> Digest:
+        """:returns: The name of the stored object.
+
+        :param body: Its bytes.
+        :raises PlatformError: when it may not be stored.
+        """
+
+
+class InstanceList(abc.ABC):
+    """The lagging list of live and leaving instances."""
+
+    @abc.abstractmethod
+    async def members(self) -> tuple[Member, ...]:
+        """:returns: Its rows.
+
+        :raises PlatformError: when there is no answer.
+        """
+
+
+class _MemberRow(msgspec.Struct, frozen=True):
+    instance: str
+    data_centre: str
+    peer_address: str
+    is_leaving: bool = False
+
+
+class _PrefixRow(msgspec.Struct, frozen=True):
+    key: str
+    etag: str
+    age_s: float
+    body: str
+
+
+class HttpPlatform(Table, ObjectStore, InstanceList):
+    """Speaks to the platform over HTTP with JSON.
+
+    :param http: Client session.
+    :param base: Base address.
+    :param data_centre: Data centre of this process, told to the platform.
+    :param timeout_s: Longest wait for an answer.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession, base: str, data_centre: str, timeout_s: float = 2.0) -> None:
+        self._http = http
+        self._base = base.rstrip('/')
+        self._headers = {'X-Data-Centre': data_centre}
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def read(self, key: str, etag: str | None) -> TableRow:
+        """:returns: The row."""
+        headers = {'If-None-Match': f'"{etag}"'} if etag else {}
+        status, answer_headers, body = await self._ask('GET', f'/table/{key}', headers=headers)
+        if status == _NOT_FOUND_STATUS:
+            return TableRow(None, None, key=key)
+        found_etag = answer_headers.get('ETag', '').strip('"')
+        try:
+            age_s = float(answer_headers.get('X-Age', '0'))
+        except ValueError:
+            age_s = 0.0
+        return TableRow(None if status == _NOT_MODIFIED_STATUS else body, found_etag, age_s, key)
+
+    async def read_prefix(self, prefix: str) -> tuple[TableRow, ...]:
+        """:returns: Every row whose name begins so."""
+        _, _, body = await self._ask('GET', '/rows', params={'prefix': prefix})
+        rows = _decode(body, list[_PrefixRow])
+        return tuple(TableRow(row.body.encode(), row.etag, row.age_s, row.key) for row in rows)
+
+    async def write(self, key: str, body: bytes, etag: str | None) -> tuple[WriteResult, str | None]:
+        """:returns: What the platform said, and the new version."""
+        headers = {'If-Match': f'"{etag}"'} if etag else {'If-None-Match': '*'}
+        try:
+            status, answer_headers, _ = await self._ask('PUT', f'/table/{key}', headers=headers, data=body)
+        except PlatformError:
+            return WriteResult.UNKNOWN, None
+        if status == _CONFLICT_STATUS:
+            return WriteResult.CONFLICT, None
+        return WriteResult.ACCEPTED, answer_headers.get('ETag', '').strip('"')
+
+    async def get(self, digest: Digest) -> bytes:
+        """:returns: The object."""
+        status, _, body = await self._ask('GET', f'/objects/{digest}')
+        if status == _NOT_FOUND_STATUS:
+            raise PlatformError(f'there is no object {digest}')
+        return check_object(digest, body)
+
+    async def put(self, body: bytes) -> Digest:
+        """:returns: The name of the stored object."""
+        packed = zlib.compress(body, 9)
+        digest = Digest(hashlib.sha256(packed).hexdigest())
+        await self._ask('PUT', f'/objects/{digest}', data=packed)
+        return digest
+
+    async def members(self) -> tuple[Member, ...]:
+        """:returns: The rows of the instance list."""
+        _, _, body = await self._ask('GET', '/instances')
+        rows = _decode(body, list[_MemberRow])
+        return tuple(
+            Member(InstanceId(row.instance), row.data_centre, row.peer_address, row.is_leaving) for row in rows
+        )
+
+    async def _ask(
+        self, method: str, path: str, headers: dict[str, str] | None = None, **options: Any
+    ) -> tuple[int, Any, bytes]:
+        merged = {**self._headers, **(headers or {})}
+        try:
+            async with self._http.request(
+                method, self._base + path, headers=merged, timeout=self._timeout, **options
+            ) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            raise PlatformError(f'{method} {path}: {type(error).__name__}') from None
+        if answer.status >= 500 or answer.status in {400, 422, 428}:
+            raise PlatformError(f'{method} {path}: status {answer.status}')
+        return answer.status, answer.headers, body
+
+
+def check_object(digest: Digest, packed: bytes) -> bytes:
+    """Check an object against its name and unpack it.
+
+    :param digest: Its name.
+    :param packed: Its bytes as stored.
+    :returns: The bytes that were put.
+    :raises PlatformError: when the bytes are not those.
+    """
+    if hashlib.sha256(packed).hexdigest() != digest:
+        raise PlatformError(f'the object {digest} is damaged')
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, _MAX_OBJECT_BYTES)
+    except zlib.error as error:
+        raise PlatformError(f'the object {digest} does not unpack: {error}') from None
+    if unpacker.unconsumed_tail:
+        raise PlatformError(f'the object {digest} is larger than {_MAX_OBJECT_BYTES} bytes')
+    return body
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise PlatformError(str(MessageError(f'the platform answered with something else: {error}'))) from None
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/postgres.py
@@ -0,0 +1,238 @@
+"""Targets that speak the PostgreSQL protocol, through psycopg."""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import Iterator
+from typing import Any, Final
+
+import msgspec
+import psycopg
+from psycopg import generators, pq, waiting
+
+from fescuequay_core.requests import ResultSet, Statement, TargetStatus
+from fescuequay_core.types import Position, Role, Term
+from fescuequay_entry.config import split_address
+from fescuequay_entry.driver import (
+    AnswerTooLargeError,
+    ConnectError,
+    Connection,
+    Driver,
+    Endpoint,
+    LostError,
+    TargetError,
+)
+
+#: Longest wait for a target to take a cancel request, in seconds.
+_CANCEL_TIMEOUT_S: Final = 0.5
+
+_STATUS_SQL: Final = 'select * from platform_status()'
+_FENCE_SQL: Final = 'select * from platform_fence($1)'
+_PROMOTE_SQL: Final = 'select platform_promote($1)'
+
+#: SQLSTATE of a write that reached a target which does not lead.
+_READ_ONLY_STATES: Final = frozenset(('25006',))
+
+#: Commands after which the connection is as before; any other, such as SET, makes it unfit for reuse.
+_CLEAN_TAGS: Final = frozenset(
+    ('SELECT', 'INSERT', 'UPDATE', 'DELETE', 'MERGE', 'VALUES', 'CREATE', 'ALTER', 'DROP', 'TRUNCATE', 'COMMENT')
+    + ('BEGIN', 'COMMIT', 'ROLLBACK', 'EXPLAIN', 'SHOW', '')
+)
+
+#: Functions that change the session from within a statement that is otherwise clean.
+_SESSION_FUNCTIONS: Final = re.compile(r'set_config|pg_(?:try_)?advisory_lock|temp(?:orary)?\s+(?:table|view)', re.I)
+
+_INTEGER_OIDS: Final = frozenset((20, 21, 23, 26))
+_FLOAT_OIDS: Final = frozenset((700, 701))
+_BOOL_OID: Final = 16
+_JSON_OIDS: Final = frozenset((114, 3802))
+
+_TYPE_NAMES: Final = {
+    16: 'bool',
+    17: 'bytea',
+    20: 'int8',
+    21: 'int2',
+    23: 'int4',
+    25: 'text',
+    114: 'json',
+    700: 'float4',
+    701: 'float8',
+    1043: 'varchar',
+    1082: 'date',
+    1114: 'timestamp',
+    1184: 'timestamptz',
+    1700: 'numeric',
+    2950: 'uuid',
+    3802: 'jsonb',
+}
+
+_GOOD: Final = frozenset((pq.ExecStatus.TUPLES_OK, pq.ExecStatus.COMMAND_OK, pq.ExecStatus.EMPTY_QUERY))
+
+
+class PostgresConnection(Connection):
+    """One connection; parameters go as text and the target finds their types.
+
+    :param raw: Open connection of psycopg.
+    :param endpoint: How it was opened.
+    """
+
+    def __init__(self, raw: psycopg.AsyncConnection[Any], endpoint: Endpoint) -> None:
+        self._raw = raw
+        self._endpoint = endpoint
+        self._is_tainted = False
+
+    async def execute(self, statement: Statement) -> ResultSet:
+        """:returns: The rows of one statement."""
+        outcome = await self._run(statement.sql, statement.params)
+        tag = (outcome.command_status or b'').split(b' ')[0].decode()
+        if tag not in _CLEAN_TAGS or _SESSION_FUNCTIONS.search(statement.sql):
+            self._is_tainted = True
+        return ResultSet(self._encoded(outcome), tag)
+
+    async def status(self) -> TargetStatus:
+        """:returns: What the target says of itself."""
+        return _status_of(await self._run(_STATUS_SQL, ()))
+
+    async def fence(self, term: Term) -> TargetStatus:
+        """:returns: The status after the fence."""
+        return _status_of(await self._run(_FENCE_SQL, (term,)))
+
+    async def promote(self, term: Term) -> Position:
+        """:returns: The position at which the term starts."""
+        outcome = await self._run(_PROMOTE_SQL, (term,))
+        return Position(int(outcome.get_value(0, 0) or 0))
+
+    @property
+    def is_clean(self) -> bool:
+        """:returns: Whether no transaction is open and the session is unchanged."""
+        pgconn = self._raw.pgconn
+        is_idle = pgconn.status == pq.ConnStatus.OK and pgconn.transaction_status == pq.TransactionStatus.IDLE
+        return is_idle and not self._is_tainted
+
+    @property
+    def is_contained(self) -> bool:
+        """:returns: Whether the open transaction is still the one that was begun here."""
+        return self._raw.pgconn.transaction_status == pq.TransactionStatus.INTRANS and not self._is_tainted
+
+    async def cancel(self) -> None:
+        """Ask the target to stop the running statement; best effort."""
+        with contextlib.suppress(psycopg.Error, OSError):
+            await self._raw.cancel_safe(timeout=_CANCEL_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close at once."""
+        self._raw.pgconn.finish()
+
+    async def _run(self, sql: str, params: tuple[object, ...]) -> Any:
+        pgconn = self._raw.pgconn
+        if pgconn.status != pq.ConnStatus.OK:
+            raise LostError('the connection is closed')
+        # Until the answer is complete nobody else may use the connection.
+        was_tainted, self._is_tainted = self._is_tainted, True
+        try:
+            pgconn.send_query_params(sql.encode(), [_param(value) for value in params])
+            outcomes = await waiting.wait_async(generators.execute(pgconn), pgconn.socket)
+        except (psycopg.Error, OSError) as error:
+            raise LostError(f'the connection was lost: {error}') from None
+        self._is_tainted = was_tainted
+        outcome = outcomes[-1]
+        if outcome.status not in _GOOD:
+            raise self._error_of(outcome)
+        return outcome
+
+    def _error_of(self, outcome: Any) -> Exception:
+        code = (outcome.error_field(pq.DiagnosticField.SQLSTATE) or b'').decode()
+        message = (outcome.error_field(pq.DiagnosticField.MESSAGE_PRIMARY) or b'').decode(errors='replace')
+        if outcome.status != pq.ExecStatus.FATAL_ERROR or self._raw.pgconn.status != pq.ConnStatus.OK:
+            self._is_tainted = True
+            return LostError(f'the target ended the connection: {message}')
+        return TargetError(message, code, is_not_primary=code in _READ_ONLY_STATES)
+
+    def _encoded(self, outcome: Any) -> bytes:
+        body = msgspec.json.encode(
+            {
+                'columns': [_column(outcome, column) for column in range(outcome.nfields)],
+                'rows': list(_rows(outcome)),
+                'row_count': _row_count(outcome),
+            }
+        )
+        if len(body) > self._endpoint.max_answer_bytes:
+            raise AnswerTooLargeError(f'the answer has {len(body)} bytes')
+        return body
+
+
+class PostgresDriver(Driver):
+    """Opens connections with psycopg; tells the target the data centre as the application's name."""
+
+    async def connect(self, endpoint: Endpoint, timeout_s: float) -> PostgresConnection:
+        """:returns: An open connection."""
+        host, port = split_address(endpoint.address)
+        timeout_ms = int(endpoint.statement_timeout_s * 1000)
+        try:
+            raw = await asyncio.wait_for(
+                psycopg.AsyncConnection.connect(
+                    host=host,
+                    port=port,
+                    user='fescuequay',
+                    dbname='fescuequay',
+                    application_name=f'fescuequay@{endpoint.data_centre}',
+                    options=f'-c statement_timeout={timeout_ms}',
+                    sslmode='disable',
+                    gssencmode='disable',
+                    autocommit=True,
+                ),
+                timeout_s,
+            )
+        except (psycopg.Error, OSError, TimeoutError) as error:
+            raise ConnectError(f'no connection to {endpoint.address}: {error or "timeout"}') from None
+        return PostgresConnection(raw, endpoint)
+
+
+def _param(value: object) -> bytes | None:
+    """Give a JSON value the text that the target's type would be written in."""
+    if value is None:
+        return None
+    if isinstance(value, str):
+        return value.encode()
+    return msgspec.json.encode(value)
+
+
+def _status_of(outcome: Any) -> TargetStatus:
+    cells = [(outcome.get_value(0, column) or b'').decode() for column in range(6)]
+    return TargetStatus(
+        role=Role(cells[0]),
+        term=Term(int(cells[1])),
+        position=Position(int(cells[2])),
+        fence=Term(int(cells[3])),
+        replicated=Position(int(cells[4])),
+        upstream_age_s=float(cells[5]),
+    )
+
+
+def _column(outcome: Any, column: int) -> dict[str, str]:
+    oid = outcome.ftype(column)
+    return {'name': outcome.fname(column).decode(), 'type': _TYPE_NAMES.get(oid, str(oid))}
+
+
+def _rows(outcome: Any) -> Iterator[list[object]]:
+    oids = [outcome.ftype(column) for column in range(outcome.nfields)]
+    for row in range(outcome.ntuples):
+        yield [_cell(oid, outcome.get_value(row, column)) for column, oid in enumerate(oids)]
+
+
+def _cell(oid: int, raw: bytes | None) -> object:
+    """Numbers keep every digit; numerics and timestamps go as the text that the target wrote."""
+    if raw is None:
+        return None
+    if oid in _INTEGER_OIDS or oid in _JSON_OIDS:
+        return msgspec.Raw(raw)
+    if oid in _FLOAT_OIDS:
+        text = raw.decode()
+        return text if text.strip('-') in {'NaN', 'Infinity'} else float(text)
+    if oid == _BOOL_OID:
+        return raw == b't'
+    return raw.decode()
+
+
+def _row_count(outcome: Any) -> int:
+    return int(outcome.command_tuples or 0) if outcome.command_tuples is not None else outcome.ntuples
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/target_actions.py
@@ -0,0 +1,120 @@
+"""Carries out the core's commands at targets and reports the results as events."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from fescuequay_core import commands, events
+from fescuequay_core.types import TargetId
+from fescuequay_entry.config import Settings
+from fescuequay_entry.driver import ConnectError, Connection, Driver, Endpoint, LostError, TargetError
+from fescuequay_entry.execution import Executor
+from fescuequay_entry.pool import Pool
+
+_LOG: Final = logging.getLogger('fescuequay')
+
+_Question = Callable[[Connection], Awaitable[Any]]
+
+
+class TargetActions:
+    """Status, fence and promote requests, executions, and the pools that they use.
+
+    :param driver: Opens connections.
+    :param settings: Settings of the instance.
+    :param post: Gives the core an event.
+    """
+
+    def __init__(self, driver: Driver, settings: Settings, post: Callable[[events.Event], None]) -> None:
+        self._driver = driver
+        self._settings = settings
+        self._post = post
+        self.pools_by_target: dict[TargetId, Pool] = {}
+        self._executor = Executor(self.pools_by_target)
+
+    def size_pool(self, command: commands.SizePool) -> None:
+        """Open, resize or close the pool of a target."""
+        pool = self.pools_by_target.get(command.target)
+        endpoint = Endpoint(
+            command.address, self._settings.data_centre, command.statement_timeout_s, self._settings.max_answer_bytes
+        )
+        if pool is not None and pool.endpoint == endpoint:
+            pool.resize(command.connections)
+        else:
+            if pool is not None:
+                pool.resize(0)
+            self.pools_by_target[command.target] = Pool(
+                self._driver,
+                endpoint,
+                command.connections,
+                self._settings.timing.probe_timeout_s,
+                self._settings.connection_idle_s,
+            )
+        if command.connections == 0:
+            self.pools_by_target.pop(command.target, None)
+
+    async def execute(self, command: commands.Execute) -> None:
+        """Run a request and report how it ended."""
+        outcome = await self._executor.run(command)
+        self._post(events.ExecutionEnded(command.request.request_id, outcome))
+
+    def close(self) -> None:
+        """Close every pool."""
+        for pool in self.pools_by_target.values():
+            pool.resize(0)
+
+    async def probe(self, command: commands.ProbeTarget) -> None:
+        """Ask a target for its status and report it."""
+        if command.delay_s:
+            await asyncio.sleep(command.delay_s)
+        started_at = time.monotonic()
+        status = await self._with_target(command.target, lambda connection: connection.status())
+        if status is None:
+            self._post(events.TargetFailed(command.target, started_at))
+        else:
+            self._post(events.TargetSeen(command.target, status[0], status[1]))
+
+    async def fence(self, command: commands.FenceTarget) -> None:
+        """Fence a target and report its status."""
+        found = await self._with_target(command.target, lambda connection: connection.fence(command.term))
+        self._post(events.Fenced(command.target, command.term, found[0] if found else None))
+
+    async def promote(self, command: commands.PromoteTarget) -> None:
+        """Promote a target and report the start of its term."""
+        found = await self._with_target(command.target, lambda connection: connection.promote(command.term))
+        self._post(events.Promoted(command.target, command.term, found[0] if found else None))
+
+    async def _with_target(self, target: TargetId, ask: _Question) -> tuple[Any, float] | None:
+        """Ask a target something on an urgent connection.
+
+        :returns: The answer and when it was asked, or nothing when there was none.
+        """
+        pool = self.pools_by_target.get(target)
+        if pool is None:
+            return None
+        try:
+            async with asyncio.timeout(self._settings.timing.probe_timeout_s):
+                connection = await pool.acquire(is_urgent=True)
+                started_at = time.monotonic()
+                answer = await _ask(pool, connection, ask)
+        except (TimeoutError, ConnectError, LostError):
+            pool.suspect()
+            return None
+        except TargetError as error:
+            _LOG.warning('target_refused', extra={'pairs': {'target': target, 'cause': str(error)}})
+            return None
+        return answer, started_at
+
+
+async def _ask(pool: Pool, connection: Connection, ask: _Question) -> Any:
+    try:
+        answer = await ask(connection)
+    except TargetError:
+        pool.release(connection)
+        raise
+    except BaseException:
+        pool.discard(connection)
+        raise
+    pool.release(connection)
+    return answer
--- /dev/null
+++ b/packages/fescuequay-standins/fescuequay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for database groups, the platform and the balancer."""
--- /dev/null
+++ b/packages/fescuequay-standins/fescuequay_standins/wire.py
@@ -0,0 +1,324 @@
+"""The server side of the PostgreSQL protocol, as far as the client library needs it."""
+
+import asyncio
+import contextlib
+import sqlite3
+import struct
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+from fescuequay_standins.database import Rows, SqlError, Statement, execute, is_read
+
+if TYPE_CHECKING:
+    from fescuequay_standins.group import Member
+
+_SSL_REQUEST: Final = 80877103
+_GSS_REQUEST: Final = 80877104
+_CANCEL_REQUEST: Final = 80877102
+
+_OIDS: Final = {
+    'int8': 20,
+    'float8': 701,
+    'text': 25,
+    'bytea': 17,
+    'numeric': 1700,
+    'timestamptz': 1184,
+    'bool': 16,
+    'jsonb': 3802,
+}
+
+_PARAMETERS: Final = {
+    'server_version': '16.0',
+    'server_encoding': 'UTF8',
+    'client_encoding': 'UTF8',
+    'standard_conforming_strings': 'on',
+    'integer_datetimes': 'on',
+    'DateStyle': 'ISO, MDY',
+    'TimeZone': 'UTC',
+}
+
+
+class WireSession:
+    """One client connection.
+
+    Statements of an open transaction are kept and go to the log of the member when it commits.
+
+    :param member: The database, with its faults and its group.
+    :param reader: Bytes from the client.
+    :param writer: Bytes to the client.
+    """
+
+    def __init__(self, member: 'Member', reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._member = member
+        self._reader = reader
+        self._writer = writer
+        self._connection: sqlite3.Connection | None = None
+        self._generation_of: object = None
+        self._statement = Statement('', ())
+        self._rows: Rows | None = None
+        self._logged: list[Statement] = []
+        self._in_transaction = False
+        self._is_failed = False
+        self._holds_lock = False
+        self._skip_to_sync = False
+        self.data_centre = ''
+        self.is_silent = False
+
+    async def run(self) -> None:
+        """Serve until the client leaves."""
+        try:
+            if await self._start():
+                await self._serve()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._rollback()
+            if self._connection is not None:
+                self._connection.close()
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Close the connection at once, as a crash would."""
+        transport = self._writer.transport
+        if transport is not None:
+            transport.abort()
+
+    async def _start(self) -> bool:
+        while True:
+            (length,) = struct.unpack('!i', await self._reader.readexactly(4))
+            body = await self._reader.readexactly(length - 4)
+            (code,) = struct.unpack('!i', body[:4])
+            if code in {_SSL_REQUEST, _GSS_REQUEST}:
+                self._writer.write(b'N')
+                continue
+            if code == _CANCEL_REQUEST:
+                return False
+            break
+        texts = body[4:].split(b'\0')
+        options = dict(zip(texts[::2], texts[1::2], strict=False))
+        self.data_centre = options.get(b'application_name', b'').decode().rpartition('@')[2]
+        await self._hold()
+        self._send(b'R', struct.pack('!i', 0))
+        for name, text in _PARAMETERS.items():
+            self._send(b'S', f'{name}\0{text}\0'.encode())
+        self._send(b'K', struct.pack('!ii', 1, 1))
+        self._ready()
+        await self._writer.drain()
+        return True
+
+    async def _hold(self) -> None:
+        """Answer nothing for as long as a fault says so."""
+        while self.is_silent or self._member.is_cut_from(self.data_centre):
+            await asyncio.sleep(0.02)
+
+    async def _serve(self) -> None:
+        while True:
+            kind = await self._reader.readexactly(1)
+            (length,) = struct.unpack('!i', await self._reader.readexactly(4))
+            body = await self._reader.readexactly(length - 4)
+            await self._hold()
+            if kind == b'X':
+                return
+            await self._message(kind, body)
+            await self._hold()
+            if kind in {b'S', b'Q'}:
+                await self._writer.drain()
+
+    async def _message(self, kind: bytes, body: bytes) -> None:
+        if kind == b'S':
+            self._skip_to_sync = False
+            self._ready()
+            return
+        if self._skip_to_sync:
+            return
+        try:
+            await self._step(kind, body)
+        except SqlError as error:
+            self._error(error)
+            self._is_failed = self._in_transaction
+            self._skip_to_sync = kind != b'Q'
+            if kind == b'Q':
+                self._ready()
+
+    async def _step(self, kind: bytes, body: bytes) -> None:
+        if kind == b'Q':
+            await self._query(body)
+        elif kind == b'P':
+            self._statement = Statement(body.split(b'\0')[1].decode(), ())
+            self._send(b'1', b'')
+        elif kind == b'B':
+            self._statement = Statement(self._statement.sql, tuple(_bound_params(body)))
+            self._rows = await self._run_statement(self._statement)
+            self._send(b'2', b'')
+        elif kind == b'D':
+            self._describe()
+        elif kind == b'E':
+            self._finish()
+
+    async def _query(self, body: bytes) -> None:
+        self._rows = await self._run_statement(Statement(body.rstrip(b'\0').decode(), ()))
+        if self._rows.names:
+            self._describe()
+        self._finish()
+        self._ready()
+
+    async def _run_statement(self, statement: Statement) -> Rows:
+        special = self._member.special(statement)
+        if special is not None:
+            return special
+        await self._member.occupy_slot()
+        try:
+            return await self._run_plain(statement)
+        finally:
+            self._member.free_slot()
+
+    async def _run_plain(self, statement: Statement) -> Rows:
+        words = statement.sql.strip().rstrip(';').lower()
+        if words.startswith('begin'):
+            return await self._begin(is_read_only='read only' in words)
+        if words == 'commit':
+            return self._commit()
+        if words == 'rollback':
+            self._rollback()
+            return Rows('ROLLBACK')
+        if words.startswith('set '):
+            return Rows('SET')
+        if self._is_failed:
+            raise SqlError('25P02', 'current transaction is aborted, commands ignored until end of transaction block')
+        if self._in_transaction:
+            rows = execute(self._session(), statement)
+            if not is_read(statement.sql):
+                self._logged.append(statement)
+            return rows
+        return await self._autocommit(statement)
+
+    async def _autocommit(self, statement: Statement) -> Rows:
+        if is_read(statement.sql):
+            return execute(self._session(), statement)
+        await self._begin(is_read_only=False)
+        try:
+            rows = execute(self._session(), statement)
+        except SqlError:
+            self._rollback()
+            raise
+        self._logged.append(statement)
+        self._commit()
+        return rows
+
+    async def _begin(self, *, is_read_only: bool) -> Rows:
+        if not is_read_only:
+            self._require_primary()
+            await self._member.database.write_lock.acquire()
+            self._holds_lock = True
+        session = self._session()
+        session.execute(f'pragma query_only={"on" if is_read_only else "off"}')
+        session.execute('begin' if is_read_only else 'begin immediate')
+        self._in_transaction = True
+        return Rows('BEGIN')
+
+    def _commit(self) -> Rows:
+        if self._is_failed:
+            self._rollback()
+            return Rows('ROLLBACK')
+        if self._holds_lock and self._logged:
+            try:
+                self._require_primary()
+            except SqlError:
+                self._rollback()
+                raise
+        if self._in_transaction:
+            self._session().execute('commit')
+        if self._logged:
+            self._member.database.append(tuple(self._logged), self._member.now())
+        self._end_transaction()
+        return Rows('COMMIT')
+
+    def _rollback(self) -> None:
+        if self._in_transaction and self._connection is not None:
+            with contextlib.suppress(sqlite3.Error):
+                self._connection.execute('rollback')
+        self._end_transaction()
+
+    def _end_transaction(self) -> None:
+        self._in_transaction = False
+        self._is_failed = False
+        self._logged = []
+        if self._connection is not None:
+            self._connection.execute('pragma query_only=off')
+        if self._holds_lock:
+            self._holds_lock = False
+            self._member.database.write_lock.release()
+
+    def _require_primary(self) -> None:
+        if not self._member.database.is_primary:
+            raise SqlError('25006', 'cannot execute a write in a read-only transaction: not the primary')
+
+    def _session(self) -> sqlite3.Connection:
+        # A rewound database has new files.
+        if self._connection is None or self._generation_of is not self._member.data_files():
+            if self._connection is not None:
+                self._connection.close()
+            self._connection = self._member.database.connect()
+            self._generation_of = self._member.data_files()
+        return self._connection
+
+    def _describe(self) -> None:
+        rows = self._rows
+        if rows is None or not rows.names:
+            self._send(b'n', b'')
+            return
+        parts = [struct.pack('!h', len(rows.names))]
+        for name, kind in zip(rows.names, rows.types, strict=True):
+            parts.append(name.encode() + b'\0' + struct.pack('!ihihih', 0, 0, _OIDS[kind], -1, -1, 0))
+        self._send(b'T', b''.join(parts))
+
+    def _finish(self) -> None:
+        rows = self._rows or Rows('')
+        for row in rows.rows:
+            parts = [struct.pack('!h', len(row))]
+            for kind, cell in zip(rows.types, row, strict=True):
+                raw = _encoded(kind, cell)
+                parts.append(struct.pack('!i', -1) if raw is None else struct.pack('!i', len(raw)) + raw)
+            self._send(b'D', b''.join(parts))
+        self._send(b'C', rows.tag.encode() + b'\0')
+
+    def _error(self, error: SqlError) -> None:
+        fields = f'SERROR\0VERROR\0C{error.code}\0M{error}\0\0'
+        self._send(b'E', fields.encode())
+
+    def _ready(self) -> None:
+        state = b'I'
+        if self._in_transaction:
+            state = b'E' if self._is_failed else b'T'
+        self._send(b'Z', state)
+
+    def _send(self, kind: bytes, body: bytes) -> None:
+        self._writer.write(kind + struct.pack('!i', len(body) + 4) + body)
+
+
+def _bound_params(body: bytes) -> Iterator[str | None]:
+    """Text parameters of a Bind message; the product sends no other format."""
+    offset = body.index(b'\0') + 1
+    offset = body.index(b'\0', offset) + 1
+    (formats,) = struct.unpack_from('!h', body, offset)
+    offset += 2 + 2 * formats
+    (count,) = struct.unpack_from('!h', body, offset)
+    offset += 2
+    for _ in range(count):
+        (length,) = struct.unpack_from('!i', body, offset)
+        offset += 4
+        if length < 0:
+            yield None
+            continue
+        yield body[offset : offset + length].decode()
+        offset += length
+
+
+def _encoded(kind: str, cell: object) -> bytes | None:
+    if cell is None:
+        return None
+    if kind == 'bool':
+        return b't' if str(cell).lower() in {'1', 't', 'true'} else b'f'
+    if isinstance(cell, bytes):
+        return b'\\x' + cell.hex().encode()
+    return str(cell).encode()
