--- a/features/builders.py
+++ b/features/builders.py
@@ -56,7 +56,7 @@
             'db': {'access': 'open', 'acknowledge': acknowledge, 'acknowledge_within_ms': 1500, 'groups': described}
         },
         'routes': {
-            WRITES: {'service': 'db'},
+            WRITES: {'service': 'db', 'key_grace_s': 60},
             READS: {'service': 'db', 'read_only': True, 'key_grace_s': 600},
             OPEN: {'service': 'db', 'access': 'open', 'organisation': 'walk-in', 'read_only': True},
         },
--- a/packages/fescuequay-core/fescuequay_core/admission.py
+++ b/packages/fescuequay-core/fescuequay_core/admission.py
@@ -13,13 +13,23 @@
 from fescuequay_core.blackboard import Blackboard, Pending
 from fescuequay_core.commands import Command, Execute, Forward, Incident, Reply
 from fescuequay_core.controller import Controller, Handler
-from fescuequay_core.events import Event, ExecutionEnded, ForwardEnded, PeerHeard, RequestArrived, TargetSeen, Tick
+from fescuequay_core.events import (
+    Event,
+    ExecutionEnded,
+    FleetRead,
+    FleetWritten,
+    ForwardEnded,
+    PeerHeard,
+    RequestArrived,
+    TargetSeen,
+    Tick,
+)
 from fescuequay_core.fleetwatch import FleetController
 from fescuequay_core.forwarding import Forwarder
 from fescuequay_core.lanes import FairLane
 from fescuequay_core.limits import Admission, LimitController
 from fescuequay_core.membership import MembershipController
-from fescuequay_core.messages import LoanAnswer
+from fescuequay_core.messages import Heartbeat, LoanAnswer
 from fescuequay_core.requests import Answer, Outcome, Request
 from fescuequay_core.routing import RETRY_SOON_S, Dispatch, Refuse, Router, Wait
 from fescuequay_core.targets import TargetController
@@ -101,6 +111,8 @@
             ForwardEnded: self._on_forwarded,
             TargetSeen: self._on_target_seen,
             PeerHeard: self._on_peer,
+            FleetRead: self._on_record,
+            FleetWritten: self._on_record,
             Tick: self._on_tick,
         }
 
@@ -231,7 +243,7 @@
         for target in choice.probes:
             yield from self._targets.probe(target, now, _EVIDENCE_GAP_S)
         if choice.needs_refresh:
-            self._fleet.hurry(now)
+            yield from self._fleet.hurry(now)
 
     def _dispatch(self, pending: Pending, choice: Dispatch, now: Instant) -> Iterator[Command]:
         # The key may have been withdrawn while the request waited.
@@ -290,9 +302,9 @@
         assert outcome.refusal is not None  # noqa: S101
         is_safe = outcome.verdict is Verdict.NOT_RUN or pending.is_read
         is_single = pending.request.kind not in _BOUND_KINDS
+        self._note_silence(pending, outcome, now)
         if outcome.is_retryable and is_safe and is_single and self._may_retry(pending, now):
-            self._retry_credit -= 1
-            self._fleet.hurry(now)
+            yield from self._fleet.hurry(now)
             if pending.target is not None:
                 yield from self._targets.probe(pending.target, now)
             self._lanes[pending.group].of(pending).add(pending)
@@ -301,8 +313,23 @@
             self._mark_uncertain(pending)
         yield from self._refuse(pending, outcome.refusal)
 
+    def _note_silence(self, pending: Pending, outcome: Outcome, now: Instant) -> None:
+        """Take a lost connection as evidence, so that other requests wait instead of following."""
+        is_lost = outcome.refusal is not None and outcome.refusal.reason is verdicts.CONNECTION_LOST
+        if is_lost and pending.target is not None:
+            view = self.board.view_of(pending.target)
+            has_newer = view.seen_at is not None and view.seen_at > (pending.dispatched_at or now)
+            if view.failing_since is None and not has_newer:
+                view.failing_since = pending.dispatched_at
+
     def _may_retry(self, pending: Pending, now: Instant) -> bool:
-        return pending.tries < _MAX_TRIES and self._retry_credit >= 1 and now < pending.request.deadline
+        if pending.tries >= _MAX_TRIES or now >= pending.request.deadline:
+            return False
+        # A request for a silent target goes nowhere until there is news, so it costs no credit.
+        is_parked = pending.target is not None and self.board.view_of(pending.target).failing_since is not None
+        if not is_parked:
+            self._retry_credit -= 1
+        return is_parked or self._retry_credit >= 0
 
     def _mark_uncertain(self, pending: Pending) -> None:
         known = pending.session.marks.get(pending.group, Mark(pending.term or 0, Position(0)))  # type: ignore[arg-type]
@@ -346,6 +373,15 @@
     def _on_peer(self, event: PeerHeard, now: Instant) -> Iterator[Command]:
         if isinstance(event.message, LoanAnswer):
             yield from self._settle_bills(now)
+        elif isinstance(event.message, Heartbeat) and event.message.record is not None:
+            yield from self._pump_all(now)
+
+    def _on_record(self, event: Event, now: Instant) -> Iterator[Command]:
+        yield from self._pump_all(now)
+
+    def _pump_all(self, now: Instant) -> Iterator[Command]:
+        for group in tuple(self._lanes):
+            yield from self._pump(group, now)
 
     def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
         yield from self._settle_bills(now)
--- a/packages/fescuequay-core/fescuequay_core/allotments.py
+++ b/packages/fescuequay-core/fescuequay_core/allotments.py
@@ -2,11 +2,16 @@
 
 import dataclasses
 from collections.abc import Iterator
+from typing import Final
 
 from fescuequay_core.messages import Loan
 from fescuequay_core.types import Instant, ResourceId
 
 
+#: Time for which a lender keeps tokens for its own callers, in seconds.
+RESERVE_S: Final = 0.4
+
+
 @dataclasses.dataclass(slots=True)
 class RunningLoan:
     """One loan, lent or borrowed.
@@ -121,21 +126,33 @@
         self._recompute()
         return True
 
-    def spare(self, need_per_s: float, now: Instant) -> tuple[float, float, float]:
+    def end(self, loan_id: str, now: Instant, *, is_lender: bool) -> None:
+        """End a loan early; the borrower ends it before the lender hears of it.
+
+        :param loan_id: The loan.
+        :param now: Present time.
+        :param is_lender: Whether this side lent it.
+        """
+        self.settle(now)
+        loans = self.lent_by_id if is_lender else self.borrowed_by_id
+        if loans.pop(loan_id, None) is not None:
+            self._recompute()
+
+    def spare(self, need_per_s: float, now: Instant) -> tuple[float, float]:
         """Tell what could be lent.
 
         :param need_per_s: Refill that this instance needs itself.
         :param now: Present time.
-        :returns: Refill a second, capacity and tokens; only what the seat itself gave is ever lent.
+        :returns: Refill a second, and tokens; only what the seat itself gave is ever lent.
         """
         self.settle(now)
         own_rate = self.base_rate_per_s - sum(lent.loan.rate_per_s for lent in self.lent_by_id.values())
         own_units = self.base_units - sum(lent.loan.units for lent in self.lent_by_id.values())
         if own_rate <= 0 or own_units <= 0:
-            return 0.0, 0.0, 0.0
-        part = max(0.0, 1 - need_per_s / own_rate)
-        tokens = min(self.level, own_units) * part
-        return own_rate * part, own_units * part, tokens
+            return 0.0, 0.0
+        # Tokens beyond what the next moments need may go even when no refill can.
+        tokens = max(min(self.level, own_units) - need_per_s * RESERVE_S, 0.0)
+        return max(own_rate - need_per_s, 0.0), tokens
 
     def _fill(self, until: Instant) -> None:
         if until > self._at:
--- a/packages/fescuequay-core/fescuequay_core/events.py
+++ b/packages/fescuequay-core/fescuequay_core/events.py
@@ -53,10 +53,12 @@
 
     :param write_id: Identity of the write.
     :param outcome: What the platform said.
+    :param etag: New version of the row when it was accepted.
     """
 
     write_id: str
     outcome: WriteResult
+    etag: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-core/fescuequay_core/fleetwatch.py
+++ b/packages/fescuequay-core/fescuequay_core/fleetwatch.py
@@ -59,6 +59,8 @@
         self._etag_version = 0
         self._read_since: Instant | None = None
         self._proposals: list[Proposal] = []
+        self._writing: list[Proposal] = []
+        self._written: FleetRecord | None = None
         self._write_id: str | None = None
         self._hurried_at: Instant = float('-inf')
 
@@ -73,35 +75,36 @@
             PeerHeard: self._on_peer,
         }
 
-    def propose(self, proposal: Proposal) -> None:
+    def propose(self, proposal: Proposal, now: Instant) -> Iterator[Command]:
         """Queue a change; it is written when the record has next been read.
 
         :param proposal: The change. It is dropped when it no longer applies.
+        :param now: Present time.
         """
-        if proposal not in self._proposals:
+        if proposal not in self._proposals and proposal not in self._writing:
             self._proposals.append(proposal)
-            self.refresh()
-
-    def refresh(self) -> None:
-        """Read the record at the next tick."""
-        self._timer.expire()
+            yield from self._read(now)
 
-    def hurry(self, now: Instant) -> None:
+    def hurry(self, now: Instant) -> Iterator[Command]:
         """Read the record soon, because something suggests that it has changed.
 
         :param now: Present time.
         """
         if now - self._hurried_at >= _HURRY_GAP_S:
             self._hurried_at = now
-            self._timer.expire()
+            yield from self._read(now)
+
+    def _read(self, now: Instant) -> Iterator[Command]:
+        if self._read_since is None:
+            self._read_since = now
+            yield ReadFleet(self._etag)
 
     def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
         if self._read_since is not None and now - self._read_since > _READ_LIMIT_S:
             self._read_since = None
         if self._read_since is None and self._timer.is_due(now):
             self._timer.interval_s = self.board.timing.fleet_poll_s * self._rng.uniform(_LEAST_POLL_PART, 1)
-            self._read_since = now
-            yield ReadFleet(self._etag)
+            yield from self._read(now)
         yield from self._fetch_text(now)
 
     def _on_read(self, event: FleetRead, now: Instant) -> Iterator[Command]:
@@ -122,10 +125,17 @@
         yield from ()
 
     def _on_written(self, event: FleetWritten, now: Instant) -> Iterator[Command]:
-        if event.write_id == self._write_id:
-            self._write_id = None
-        # Whatever the platform said, the next read shows whether the write took effect.
-        self.refresh()
+        if event.write_id != self._write_id or self._written is None:
+            return
+        record, self._written = self._written, None
+        self._write_id = None
+        self._writing = []
+        if event.outcome is WriteResult.ACCEPTED and record.version > self._etag_version:
+            self._etag = event.etag
+            self._etag_version = record.version
+            yield from self._adopt(record, now)
+        # Otherwise the next read shows whether the write took effect.
+        yield from self._read(now)
         if event.outcome is WriteResult.UNKNOWN:
             yield Incident('fleet_write_unknown', event.write_id, 'the platform did not answer')
 
@@ -136,7 +146,7 @@
         if message.record is not None:
             yield from self._adopt(message.record, now)
         if message.fleet_version > self.board.record.version:
-            self.refresh()
+            yield from self._read(now)
         # A message may have waited anywhere before it arrived. Only an answer bounds that wait, because
         # its age counts from when the question was sent.
         if event.sent_at is None or message.confirmed_age_s is None:
@@ -201,7 +211,9 @@
                 is_changed = True
         if is_changed:
             self._write_id = f'{self.board.instance}.{self._rng.getrandbits(_ID_BITS):016x}'
-            yield WriteFleet(with_write_id(changed, self._write_id), self._etag, self._write_id)
+            self._written = with_write_id(changed, self._write_id)
+            self._writing = waiting
+            yield WriteFleet(self._written, self._etag, self._write_id)
 
 
 def encode_record(record: FleetRecord) -> bytes:
--- a/packages/fescuequay-core/fescuequay_core/leadership.py
+++ b/packages/fescuequay-core/fescuequay_core/leadership.py
@@ -12,7 +12,7 @@
 from fescuequay_core.commands import Command, FenceTarget, Incident, PromoteTarget
 from fescuequay_core.config import Group
 from fescuequay_core.controller import Controller, Handler
-from fescuequay_core.events import Event, Fenced, Promoted, Tick
+from fescuequay_core.events import Event, Fenced, FleetRead, FleetWritten, Promoted, Tick
 from fescuequay_core.fleet import MAX_STARTS, ChangeLeader, Leader, TermStart
 from fescuequay_core.fleetwatch import FleetController
 from fescuequay_core.requests import TargetStatus
@@ -85,11 +85,19 @@
         self._fleet = fleet
         self._attempts: dict[GroupId, _Attempt] = {}
         self._seen_since: dict[GroupId, tuple[Leader, Instant]] = {}
+        self._closing_since: dict[GroupId, tuple[Term, Instant]] = {}
+        self._closed: dict[GroupId, Leader] = {}
         self._refenced_at: dict[TargetId, Instant] = {}
 
     def handlers(self) -> Mapping[type[Event], Handler]:
         """:returns: Handlers of the timer and of fence and promote answers."""
-        return {Tick: self._on_tick, Fenced: self._on_fenced, Promoted: self._on_promoted}
+        return {
+            Tick: self._on_tick,
+            Fenced: self._on_fenced,
+            Promoted: self._on_promoted,
+            FleetRead: self._on_record,
+            FleetWritten: self._on_record,
+        }
 
     def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
         if self.board.text is None:
@@ -107,10 +115,9 @@
 
     def _step(self, group_id: GroupId, group: Group, now: Instant) -> Iterator[Command]:
         leader = self.board.leader_of(group_id)
-        if leader is not None and self._seen_since.get(group_id, (None, now))[0] != leader:
-            self._seen_since[group_id] = (leader, now)
+        self._note_changes(group_id, leader, now)
         if leader is None:
-            self._bootstrap(group_id, group)
+            yield from self._bootstrap(group_id, group, now)
         elif leader.state is LeaderState.LEADING:
             yield from self._watch(group_id, group, leader, now)
         elif leader.promoter == self.board.instance:
@@ -119,7 +126,17 @@
             self._attempts.pop(group_id, None)
             yield from self._consider_takeover(group_id, leader, now)
 
-    def _bootstrap(self, group_id: GroupId, group: Group) -> None:
+    def _note_changes(self, group_id: GroupId, leader: Leader | None, now: Instant) -> None:
+        """Remember since when this instance has known the record, and that its term is closed."""
+        if leader is None:
+            return
+        if self._seen_since.get(group_id, (None, now))[0] != leader:
+            self._seen_since[group_id] = (leader, now)
+        closing_term = self._closing_since.get(group_id, (None, now))[0]
+        if leader.state is LeaderState.CLOSING and closing_term != leader.term:
+            self._closing_since[group_id] = (leader.term, now)
+
+    def _bootstrap(self, group_id: GroupId, group: Group, now: Instant) -> Iterator[Command]:
         """Record the first leader: the primary of the highest term, once the whole group was seen."""
         statuses = self._statuses(group)
         if len(statuses) < _majority(group):
@@ -131,7 +148,7 @@
         if statuses[target].term < max(status.term for status in statuses.values()):
             return
         leader = Leader(statuses[target].term, target, named=group.primary, cause='first primary seen')
-        self._fleet.propose(ChangeLeader(group_id, None, leader))
+        yield from self._fleet.propose(ChangeLeader(group_id, None, leader), now)
 
     def _statuses(self, group: Group) -> dict[TargetId, TargetStatus]:
         views = {target: self.board.view_of(target) for target in group.targets}
@@ -181,9 +198,9 @@
         replicas = [self.board.view_of(target).status for target in self._reachable(group, leader)]
         silent_to = [status for status in replicas if status and status.upstream_age_s > timing.suspect_after_s / 2]
         if len(silent_to) * 2 > len(replicas):
-            return f'the primary has been silent for {silent_s:.1f} s, also to its replicas'
+            return 'the primary is silent, also to its replicas'
         if silent_s > 2 * timing.suspect_after_s and self._is_silent_to_peers(leader.target, now):
-            return f'the primary has been silent for {silent_s:.1f} s, also to other instances'
+            return 'the primary is silent, also to other instances'
         return None
 
     def _deposed(self, view: TargetView, leader: Leader, since: Instant) -> str | None:
@@ -230,9 +247,10 @@
             named=named or leader.named,
             cause=cause,
         )
-        proposal = ChangeLeader(group_id, leader, closing)
-        self._fleet.propose(proposal)
-        yield Incident('term_closing', group_id, cause, (('term', str(leader.term)), ('target', leader.target)))
+        yield from self._fleet.propose(ChangeLeader(group_id, leader, closing), now)
+        if self._closed.get(group_id) != leader:
+            self._closed[group_id] = leader
+            yield Incident('term_closing', group_id, cause, (('term', str(leader.term)), ('target', leader.target)))
 
     def _consider_takeover(self, group_id: GroupId, leader: Leader, now: Instant) -> Iterator[Command]:
         since = self._seen_since[group_id][1]
@@ -257,7 +275,7 @@
         if attempt.stage is _Stage.PROMOTING:
             yield from self._ask_promotion(group_id, leader, attempt, now)
         if attempt.stage is _Stage.PUBLISHING:
-            self._publish(group_id, group, leader, attempt)
+            yield from self._publish(group_id, group, leader, attempt, now)
 
     def _enter(self, attempt: _Attempt, stage: _Stage, now: Instant) -> None:
         attempt.stage = stage
@@ -267,15 +285,20 @@
     def _permits_ended(self, group_id: GroupId, attempt: _Attempt, now: Instant) -> bool:
         """Tell whether every permit given before the term was closed has surely ended.
 
+        They ran out from when the term was first closed, whoever carried on from there.
         A service that acknowledges on a majority needs no permits: the fence of a majority ends its
         acknowledgements. A planned move fences the old primary itself and needs no wait either, but
         is treated alike, because the old primary may be lost halfway.
+
+        :param group_id: The group.
+        :param attempt: The promotion.
+        :param now: Present time.
         """
         service = self.board.service_of(group_id)
         permit_s = self.board.timing.permit_s * (1 + self.board.timing.drift)
         uses_permits = service is None or service.acknowledge is Acknowledge.PRIMARY
         # Another instance may still act on an earlier text under which this service used permits.
-        began_at = attempt.began_at if uses_permits else self.board.text_adopted_at
+        began_at = self._closing_since[group_id][1] if uses_permits else self.board.text_adopted_at
         return now >= began_at + permit_s
 
     def _fence(self, group: Group, leader: Leader, attempt: _Attempt, now: Instant) -> Iterator[Command]:
@@ -331,7 +354,9 @@
             return
         yield PromoteTarget(attempt.candidate, attempt.term)
 
-    def _publish(self, group_id: GroupId, group: Group, leader: Leader, attempt: _Attempt) -> None:
+    def _publish(
+        self, group_id: GroupId, group: Group, leader: Leader, attempt: _Attempt, now: Instant
+    ) -> Iterator[Command]:
         if attempt.candidate is None or attempt.start is None:
             return
         starts = (*leader.starts, TermStart(attempt.term, attempt.start))[-MAX_STARTS:]
@@ -343,7 +368,7 @@
             cause=leader.cause,
             starts=starts,
         )
-        self._fleet.propose(ChangeLeader(group_id, leader, published))
+        yield from self._fleet.propose(ChangeLeader(group_id, leader, published), now)
 
     def _on_fenced(self, event: Fenced, now: Instant) -> Iterator[Command]:
         if event.status is None or event.status.fence != event.term:
@@ -355,6 +380,7 @@
                     attempt.statuses[event.target] = event.status
                     details = (('target', event.target), ('position', str(event.status.position)))
                     yield Incident('target_fenced', group_id, f'term {event.term}', details)
+        yield from self._continue(now)
 
     def _on_promoted(self, event: Promoted, now: Instant) -> Iterator[Command]:
         if event.start is None:
@@ -366,6 +392,18 @@
                     self._enter(attempt, _Stage.PUBLISHING, now)
                     details = (('target', event.target), ('start', str(event.start)))
                     yield Incident('target_promoted', group_id, f'term {event.term}', details)
+        yield from self._continue(now)
+
+    def _on_record(self, event: Event, now: Instant) -> Iterator[Command]:
+        yield from self._continue(now)
+
+    def _continue(self, now: Instant) -> Iterator[Command]:
+        """Go on with the promotions that this instance carries out, without waiting for the timer."""
+        for group_id, leader in self.board.record.leaders.items():
+            group = self.board.group_of(group_id)
+            if group is not None and leader.state is LeaderState.CLOSING and leader.promoter == self.board.instance:
+                self._note_changes(group_id, leader, now)
+                yield from self._promote(group_id, group, leader, now)
 
     def _refence(self, group: Group, leader: Leader, now: Instant) -> Iterator[Command]:
         """Fence members that came back from an earlier term, so that they follow the new primary."""
--- a/packages/fescuequay-core/fescuequay_core/limits.py
+++ b/packages/fescuequay-core/fescuequay_core/limits.py
@@ -25,6 +25,9 @@
 #: Factor by which an instance provides for more than its present demand.
 _HEADROOM: Final = 1.25
 
+#: Demand that a loan provides tokens for, in seconds.
+_LOOK_AHEAD_S: Final = 0.3
+
 #: Smallest interval between two immediate loan requests for one organisation, in seconds.
 _ASK_GAP_S: Final = 0.03
 
@@ -36,6 +39,9 @@
 
 _LEAST_WAIT_S: Final = 0.01
 
+#: Factor of need above which a loan is returned early.
+_SLACK: Final = 1.5
+
 _ID_BITS: Final = 64
 
 #: Peers that are asked at a time.
@@ -62,6 +68,7 @@
         self.demand_per_s = 0.0
         self.waiting = 0
         self.asked_at: Instant = float('-inf')
+        self.gained_units = 0.0
         self.fruitless_until: Instant = float('-inf')
 
 
@@ -166,6 +173,7 @@
         short = {name: account for name, account in self._accounts.items() if self._is_short(account, now)}
         if not self.board.is_stopping:
             yield from self._ask(short, now)
+        yield from self._give_back(now)
 
     def _is_short(self, account: _Account, now: Instant) -> bool:
         if now < account.fruitless_until:
@@ -195,7 +203,7 @@
             renewals = tuple(
                 loan_id
                 for account in accounts.values()
-                for loan_id in account.allotment.borrowed_by_id
+                for loan_id in _needed_loans(account)
                 if loan_id.startswith(f'{peer}:')
             )
             ask_id = f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}'
@@ -203,11 +211,28 @@
             yield SendPeer(peer, view.heartbeat.peer_address, LoanRequest(ask_id, self.board.instance, wants, renewals))
         for account in accounts.values():
             account.asked_at = now
+            account.gained_units = 0.0
+
+    def _give_back(self, now: Instant) -> Iterator[Command]:
+        """Return loans of refill that demand no longer needs, so that others need not wait for their end."""
+        returns_by_peer: dict[InstanceId, list[str]] = collections.defaultdict(list)
+        for account in self._accounts.values():
+            kept = set(_needed_loans(account, slack=_SLACK))
+            for loan_id, running in tuple(account.allotment.borrowed_by_id.items()):
+                if loan_id not in kept and running.loan.rate_per_s > 0:
+                    account.allotment.end(loan_id, now, is_lender=False)
+                    returns_by_peer[InstanceId(loan_id.split(':')[0])].append(loan_id)
+        for peer, loan_ids in returns_by_peer.items():
+            view = self.board.peers_by_id.get(peer)
+            if view is not None:
+                ask_id = f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}'
+                request = LoanRequest(ask_id, self.board.instance, returns=tuple(loan_ids))
+                yield SendPeer(peer, view.heartbeat.peer_address, request)
 
     def _want(self, account: _Account, peers: int) -> Want:
         allotment = account.allotment
         missing_rate = max(account.demand_per_s * _HEADROOM - allotment.rate_per_s, 0.0)
-        wanted_level = account.waiting + account.demand_per_s * _REVIEW_S + 1
+        wanted_level = account.waiting + account.demand_per_s * _LOOK_AHEAD_S + 1
         missing_units = max(wanted_level - allotment.level, 0.0)
         # Some peers will have less to spare than others, so each is asked for more than its part.
         over_ask = 2 / peers
@@ -226,6 +251,9 @@
             return known
         self._sync(now)
         safe_until = now + self.board.timing.loan_s * (1 + 2 * self.board.timing.drift)
+        for loan_id in request.returns:
+            for account in self._accounts.values():
+                account.allotment.end(loan_id, now, is_lender=True)
         renewed = tuple(loan_id for loan_id in request.renewals if self._renew(loan_id, safe_until, now))
         loans = tuple(
             loan for want in request.wants for loan in self._lend(want, safe_until, now) if not self.board.is_stopping
@@ -251,18 +279,15 @@
         account = self._accounts.get(OrganisationId(want.resource))
         if account is None or not (want.rate_per_s > 0 or want.units > 0):
             return
-        rate, units, tokens = account.allotment.spare(account.demand_per_s * _HEADROOM, now)
+        rate, tokens = account.allotment.spare(account.demand_per_s * _HEADROOM, now)
         lent_rate = min(want.rate_per_s, rate)
-        lent_units = min(max(want.units, units * lent_rate / rate if rate else 0.0), units)
-        if lent_units <= 0:
+        # Capacity moves only together with the tokens that fill it: capacity without tokens would
+        # make the lender drop tokens, and the organisation would lose them.
+        lent_units = min(want.units, tokens)
+        if lent_rate <= 0 and lent_units <= 0:
             return
-        loan = Loan(
-            f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}',
-            want.resource,
-            lent_rate,
-            lent_units,
-            min(tokens, lent_units),
-        )
+        loan_id = f'{self.board.instance}:{self._rng.getrandbits(_ID_BITS):016x}'
+        loan = Loan(loan_id, want.resource, lent_rate, lent_units, lent_units)
         account.allotment.lend(loan, until, now)
         yield loan
 
@@ -278,11 +303,12 @@
             account_of_loan = self._accounts.get(OrganisationId(loan.resource))
             if account_of_loan is not None:
                 account_of_loan.allotment.borrow(loan, until, now)
+                account_of_loan.gained_units += loan.units
                 amounts = (('rate_per_s', f'{loan.rate_per_s:.2f}'), ('tokens', f'{loan.tokens:.2f}'))
                 yield Incident('allotment_borrowed', loan.resource, f'lent by {answer.sender}', amounts)
         for account in self._accounts.values():
             is_last = not any(entry[0] == account.asked_at for entry in self._asks.values())
-            if is_last and account.waiting and account.allotment.level < 1:
+            if is_last and account.waiting and account.gained_units < 1:
                 account.fruitless_until = now + _FRUITLESS_S
                 account.waiting = 0
 
@@ -300,6 +326,8 @@
         floor = self.board.timing.floor
         part = (1 - floor if parts[0] else 0.0) + (floor if parts[1] else 0.0)
         fraction = part / len(seats_of(text))
+        # A clock that runs fast must not fill its bucket faster than the limit allows.
+        rate_fraction = fraction * (1 - self.board.timing.drift)
         for organisation_id, organisation in text.organisations.items():
             account = self._accounts.get(organisation_id)
             is_new = account is None
@@ -307,7 +335,7 @@
                 account = _Account(ResourceId(organisation_id), now)
                 self._accounts[organisation_id] = account
             account.allotment.set_base(
-                organisation.rate_per_s * fraction,
+                organisation.rate_per_s * rate_fraction,
                 organisation.burst * fraction,
                 changed_at if changed_at > float('-inf') else now,
                 is_full=is_new and self._seats.is_fresh and parts[0],
@@ -317,3 +345,13 @@
                 account.allotment.set_base(0.0, 0.0, now)
         self._parts = parts
         self._text_number = self.board.text_number
+
+
+def _needed_loans(account: _Account, slack: float = 1.0) -> Iterator[str]:
+    """Loans that present demand still needs, with some slack so that they do not go back and forth."""
+    allotment = account.allotment
+    needed = account.demand_per_s * _HEADROOM * slack - allotment.base_rate_per_s
+    for loan_id, running in allotment.borrowed_by_id.items():
+        if needed > 0 and running.loan.rate_per_s > 0:
+            needed -= running.loan.rate_per_s
+            yield loan_id
--- a/packages/fescuequay-core/fescuequay_core/messages.py
+++ b/packages/fescuequay-core/fescuequay_core/messages.py
@@ -58,12 +58,14 @@
     :param sender: Borrower.
     :param wants: Wishes by resource.
     :param renewals: Ids of loans to renew.
+    :param returns: Ids of loans that the borrower has already stopped using.
     """
 
     ask_id: str
     sender: InstanceId
     wants: tuple[Want, ...] = ()
     renewals: tuple[str, ...] = ()
+    returns: tuple[str, ...] = ()
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/fescuequay-core/fescuequay_core/settings.py
+++ b/packages/fescuequay-core/fescuequay_core/settings.py
@@ -47,11 +47,11 @@
     suspect_after_s: _Seconds = 1.0
     takeover_after_s: _Seconds = 1.5
     fence_retry_s: _Seconds = 0.2
-    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.01
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.002
     queue_wait_s: _Seconds = 4.0
     replica_wait_s: _Seconds = 0.05
-    seat_lease_s: _Seconds = 30.0
-    seat_renew_s: _Seconds = 8.0
+    seat_lease_s: _Seconds = 15.0
+    seat_renew_s: _Seconds = 5.0
     floor_lease_s: _Seconds = 7200.0
     floor: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.25
     loan_s: _Seconds = 2.0
--- a/packages/fescuequay-entry/fescuequay_entry/platform_actions.py
+++ b/packages/fescuequay-entry/fescuequay_entry/platform_actions.py
@@ -78,8 +78,8 @@
 
     async def write_fleet(self, command: commands.WriteFleet) -> None:
         """Write the fleet record and report what the platform said."""
-        outcome, _ = await self._platform.write(FLEET_ROW, encode_record(command.record), command.etag)
-        self._post(events.FleetWritten(command.write_id, outcome))
+        outcome, etag = await self._platform.write(FLEET_ROW, encode_record(command.record), command.etag)
+        self._post(events.FleetWritten(command.write_id, outcome, etag))
 
     async def read_object(self, command: commands.ReadObject) -> None:
         """Fetch an object from the store or, failing that, from a peer."""
