--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+JOBS ?= 4
 PACKAGES := packages/fescuequay-core packages/fescuequay-entry packages/fescuequay-ctl packages/fescuequay-standins
 SOURCES := packages features spec lab
 
@@ -22,7 +23,8 @@
 	$(BIN)/python -m fescuequay_standins.demo --text examples/cordillera.jsonc
 
 test: setup lint  ## lint, then every check that CI runs
-	$(BIN)/behave --no-color --format progress features
+	ls features/*.feature | xargs -P $(JOBS) -I{} $(BIN)/behave --no-color --no-summary --format progress --tags="not @real" {}
+	$(BIN)/behave --no-color --format progress --tags=@real features
 
 lint: setup  ## formatter, linters, types and the package boundary
 	$(BIN)/ruff format --check $(SOURCES)
--- a/features/cluster.py
+++ b/features/cluster.py
@@ -13,7 +13,7 @@
 from fescuequay_core.fleet import ApplyText, FleetRecord, with_write_id
 from fescuequay_core.requests import Answer, Outcome, Request, ResultSet, Statement
 from fescuequay_core.settings import Identity, Timing
-from fescuequay_core.types import Digest, RequestKind, Verdict
+from fescuequay_core.types import Digest, InstanceId, RequestKind, Verdict
 from fescuequay_core.verdicts import CONNECTION_LOST, NO_PRIMARY, Refusal
 
 #: One-way delay of every link, and the time that a target needs, in virtual seconds.
@@ -169,7 +169,7 @@
 
         node.do(lambda: self.after(LINK_S + self.platform.delay_s, arrive))
 
-    def _do_ReadFleet(self, node: Node, command: commands.ReadFleet) -> None:  # noqa: N802
+    def _do_ReadFleet(self, node: Node, command: commands.ReadFleet) -> None:
         started_at = node.now()
 
         def read() -> Any:
@@ -184,7 +184,7 @@
 
         self._at_platform(node, read, done)
 
-    def _do_WriteFleet(self, node: Node, command: commands.WriteFleet) -> None:  # noqa: N802
+    def _do_WriteFleet(self, node: Node, command: commands.WriteFleet) -> None:
         self._at_platform(
             node,
             lambda: (self.platform.write_fleet(command.record, command.etag), self.platform.etag()),
@@ -193,11 +193,17 @@
             ),
         )
 
-    def _do_ReadObject(self, node: Node, command: commands.ReadObject) -> None:  # noqa: N802
+    def _do_ReadObject(self, node: Node, command: commands.ReadObject) -> None:
         def done(found: Any) -> None:
             if found is None:
-                found = next((self.platform.objects[command.digest] for peer in command.peer_addresses
-                              if self._linked(node.name, peer) and self._holds_text(peer)), None)
+                found = next(
+                    (
+                        self.platform.objects[command.digest]
+                        for peer in command.peer_addresses
+                        if self._linked(node.name, peer) and self._holds_text(peer)
+                    ),
+                    None,
+                )
             node.post(events.ObjectRead(command.digest, found))
 
         self._at_platform(node, lambda: self.platform.objects[command.digest], done)
@@ -206,10 +212,10 @@
         board = self.nodes[peer].core.board
         return board.record.text is not None and board.text_number == board.record.text.number
 
-    def _do_ReadMembers(self, node: Node, command: commands.ReadMembers) -> None:  # noqa: N802
+    def _do_ReadMembers(self, node: Node, command: commands.ReadMembers) -> None:
         def members() -> Any:
             live = [other for other in self.nodes.values() if not other.is_dead]
-            return tuple(events.Member(other.name, other.data_centre, other.name) for other in live)  # type: ignore[arg-type]
+            return tuple(events.Member(InstanceId(other.name), other.data_centre, other.name) for other in live)
 
         def done(found: Any) -> None:
             if found is not None:
@@ -217,14 +223,14 @@
 
         self._at_platform(node, members, done)
 
-    def _do_ReadSeats(self, node: Node, command: commands.ReadSeats) -> None:  # noqa: N802
+    def _do_ReadSeats(self, node: Node, command: commands.ReadSeats) -> None:
         def done(found: Any) -> None:
             if found is not None:
                 node.post(events.SeatsRead(found))
 
         self._at_platform(node, lambda: self.platform.read_seats(node.data_centre, self.now()), done)
 
-    def _do_WriteSeat(self, node: Node, command: commands.WriteSeat) -> None:  # noqa: N802
+    def _do_WriteSeat(self, node: Node, command: commands.WriteSeat) -> None:
         started_at = node.now()
 
         def done(found: Any) -> None:
@@ -237,7 +243,7 @@
         places = {self.nodes[name].data_centre for name in (left, right)}
         return frozenset(places) not in self.peer_cuts and not self.nodes[right].is_dead
 
-    def _do_SendPeer(self, node: Node, command: commands.SendPeer) -> None:  # noqa: N802
+    def _do_SendPeer(self, node: Node, command: commands.SendPeer) -> None:
         sent_at = node.now()
 
         def fail() -> None:
@@ -260,7 +266,7 @@
 
         node.do(lambda: self.after(LINK_S, arrive))
 
-    def _do_Forward(self, node: Node, command: commands.Forward) -> None:  # noqa: N802
+    def _do_Forward(self, node: Node, command: commands.Forward) -> None:
         name = command.request.request_id
 
         def arrive() -> None:
@@ -293,7 +299,7 @@
         else:
             done(result)
 
-    def _do_ProbeTarget(self, node: Node, command: commands.ProbeTarget) -> None:  # noqa: N802
+    def _do_ProbeTarget(self, node: Node, command: commands.ProbeTarget) -> None:
         def begin() -> None:
             started_at = node.now()
 
@@ -307,7 +313,7 @@
 
         self.after(command.delay_s, lambda: node.do(begin))
 
-    def _do_FenceTarget(self, node: Node, command: commands.FenceTarget) -> None:  # noqa: N802
+    def _do_FenceTarget(self, node: Node, command: commands.FenceTarget) -> None:
         def fence(target: Any) -> Any:
             return target.status(self.now()) if target.set_fence(command.term) else None
 
@@ -315,7 +321,7 @@
             node, command.target, fence, lambda status: node.post(events.Fenced(command.target, command.term, status))
         )
 
-    def _do_PromoteTarget(self, node: Node, command: commands.PromoteTarget) -> None:  # noqa: N802
+    def _do_PromoteTarget(self, node: Node, command: commands.PromoteTarget) -> None:
         self._reach(
             node,
             command.target,
@@ -323,7 +329,7 @@
             lambda start: node.post(events.Promoted(command.target, command.term, start)),
         )
 
-    def _do_Execute(self, node: Node, command: commands.Execute) -> None:  # noqa: N802
+    def _do_Execute(self, node: Node, command: commands.Execute) -> None:
         request = command.request
         self.handed.append((self.now(), command.target, request.request_id))
         target = self.targets[command.target]
@@ -368,7 +374,7 @@
             return _failed(Verdict.MAY_HAVE_RUN, 'the answer was lost')
         return Outcome(Verdict.RAN)
 
-    def _do_Reply(self, node: Node, command: commands.Reply) -> None:  # noqa: N802
+    def _do_Reply(self, node: Node, command: commands.Reply) -> None:
         answer = command.answer
         if answer.request_id in self.sent and answer.request_id not in self.answers:
             self.answers[answer.request_id] = (self.now(), answer)
@@ -377,15 +383,14 @@
             if origin is not None:
                 self.after(LINK_S, lambda: origin.post(events.ForwardEnded(answer.request_id, answer)))
 
-    def _do_Incident(self, node: Node, command: commands.Incident) -> None:  # noqa: N802
+    def _do_Incident(self, node: Node, command: commands.Incident) -> None:
         self.incidents.append((self.now(), node.name, command))
         for hook in self.hooks.pop(command.name, []):
             hook(node)
 
-    def _do_Stopped(self, node: Node, command: commands.Stopped) -> None:  # noqa: N802
+    def _do_Stopped(self, node: Node, command: commands.Stopped) -> None:
         node.is_stopped = True
 
 
 def _failed(verdict: Verdict, detail: str, *, is_retryable: bool = False, reason: Any = CONNECTION_LOST) -> Outcome:
     return Outcome(verdict, refusal=Refusal(reason, verdict, detail), is_retryable=is_retryable)
-
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -43,9 +43,7 @@
         if command.etag != (f's{row[0]}' if row else None):
             return WriteResult.CONFLICT, None
         self.seat_writes += 1
-        self.seats[command.seat] = (
-            self.seat_writes, command.holder, command.is_released, command.floor_free_in_s, now
-        )
+        self.seats[command.seat] = (self.seat_writes, command.holder, command.is_released, command.floor_free_in_s, now)
         return WriteResult.ACCEPTED, f's{self.seat_writes}'
 
     def read_seats(self, data_centre: str, now: float) -> tuple[Seat, ...]:
@@ -120,7 +118,9 @@
     """Three databases; one call of ``replicate`` moves the log a step."""
 
     def __init__(self, group: str) -> None:
-        self.targets = {f'{group}-{place}': FakeTarget(f'{group}-{place}', is_primary=place == 1) for place in (1, 2, 3)}
+        self.targets = {
+            f'{group}-{place}': FakeTarget(f'{group}-{place}', is_primary=place == 1) for place in (1, 2, 3)
+        }
         self.committed_at: dict[str, float] = {}
 
     def write(self, target: FakeTarget, write: str, now: float) -> None:
@@ -136,8 +136,11 @@
             sources = [
                 other
                 for other in self.targets.values()
-                if other is not replica and not other.is_down and not other.is_isolated
-                and other.leads and other.term >= max(replica.fence, replica.term)
+                if other is not replica
+                and not other.is_down
+                and not other.is_isolated
+                and other.leads
+                and other.term >= max(replica.fence, replica.term)
             ]
             if sources:
                 self._copy(max(sources, key=lambda other: other.term), replica, now)
--- a/features/faults.py
+++ b/features/faults.py
@@ -134,7 +134,10 @@
     'the primary is cut off while it still leads': isolate_primary,
     'the primary is cut off with its data centre': isolate_primary_with_its_data_centre,
     'the primary is cut off and instances beside it are paused': _pause_instances_of_first_data_centre,
-    'the primary crashes while replicas are far behind': lambda cluster: (lag_replicas(cluster), crash_primary(cluster))[-1],
+    'the primary crashes while replicas are far behind': lambda cluster: (
+        lag_replicas(cluster),
+        crash_primary(cluster),
+    )[-1],
     'the promoter dies after closing the term': at_step('promotion_began', _kill),
     'the promoter dies after fencing': at_step('target_fenced', _kill),
     'the promoter dies after promoting': at_step('target_promoted', _kill),
--- a/features/load.py
+++ b/features/load.py
@@ -13,7 +13,10 @@
 class Session:
     """One caller: writes and reads in turn, at any instance, and waits for each answer."""
 
-    def __init__(self, cluster: Cluster, number: int, organisation: str, rng: random.Random) -> None:
+    def __init__(
+        self, cluster: Cluster, number: int, organisation: str, rng: random.Random, home: str | None = None
+    ) -> None:
+        self.home = home
         self.cluster = cluster
         self.rng = rng
         self.organisation = organisation
@@ -35,7 +38,7 @@
         live = [name for name, node in self.cluster.nodes.items() if not node.is_dead and not node.is_paused]
         if not live:
             return
-        node = self.rng.choice(live)
+        node = self.home or self.rng.choice(live)
         self.turn += 1
         digest = keys.digest_of(builders.key_of(self.organisation))
         if self.turn % 3 == 0:
@@ -60,12 +63,17 @@
 class Callers:
     """Several sessions that act at a fixed interval until they are stopped."""
 
-    def __init__(self, cluster: Cluster, sessions: int, interval_s: float, seed: int = 0) -> None:
-        rng = random.Random(seed)  # noqa: S311
+    def __init__(
+        self, cluster: Cluster, sessions: int, interval_s: float, seed: int = 0, homes: tuple[str, ...] = ()
+    ) -> None:
+        rng = random.Random(seed)
         self.cluster = cluster
         self.interval_s = interval_s
         self.is_on = True
-        self.sessions = [Session(cluster, number, ('acme', 'bolt')[number % 2], rng) for number in range(sessions)]
+        places = (*homes, *([None] * (sessions - len(homes))))
+        self.sessions = [
+            Session(cluster, number, ('acme', 'bolt')[number % 2], rng, home) for number, home in enumerate(places)
+        ]
         for place, session in enumerate(self.sessions):
             cluster.after(0.001 + interval_s * place / sessions, lambda session=session: self._act(session))
 
--- a/features/path.feature
+++ b/features/path.feature
@@ -1,7 +1,7 @@
 Feature: The whole path, with real processes over loopback
   A caller writes through one instance and reads through another; operators drive the fleet by its text.
 
-  @read-your-writes @whole-answer
+  @real @read-your-writes @whole-answer
   Scenario: A write through one instance is read through the other with the session token
     Given 2 real instances
     And the table "prices" exists
@@ -10,7 +10,7 @@
     Then the answer holds price "8900.00"
     And a replica served it
 
-  @key-scope
+  @real @key-scope
   Scenario: A call without a key is refused and nothing has run
     Given 2 real instances
     When a caller without a key sends "select 1" to i2
--- a/features/steps/judge_steps.py
+++ b/features/steps/judge_steps.py
@@ -21,7 +21,11 @@
     ),
     'an instance goes back to an older text': History(versions={'i1': (1, 2, 1)}),
     'nothing is wrong': History(
-        writes=(Write('a', is_acked=True), Write('b', verdict=Verdict.NOT_RUN), Write('c', verdict=Verdict.MAY_HAVE_RUN)),
+        writes=(
+            Write('a', is_acked=True),
+            Write('b', verdict=Verdict.NOT_RUN),
+            Write('c', verdict=Verdict.MAY_HAVE_RUN),
+        ),
         log=('a', 'c'),
         runs=('a', 'c'),
         reads=(Read(frozenset('ac'), frozenset('a')),),
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -159,11 +159,7 @@
 
 @then('at most 1% of its requests were refused after 5 s, and after 5 s of each shift')
 def step_few_refusals(context: Any) -> None:
-    settled = [
-        name
-        for at, name, _ in context.ids['acme']
-        if (at - context.began_at) % context.shift_s >= 5
-    ]
+    settled = [name for at, name, _ in context.ids['acme'] if (at - context.began_at) % context.shift_s >= 5]
     refused = [name for name in settled if context.cluster.answers[name][1].refusal is not None]
     assert len(refused) <= 0.01 * len(settled), (len(refused), len(settled))
 
@@ -175,7 +171,9 @@
 
 
 def _served(context: Any, organisation: str) -> int:
-    answers = [context.cluster.answers[name][1] for _, name, _ in context.ids[organisation] if name in context.cluster.answers]
+    answers = [
+        context.cluster.answers[name][1] for _, name, _ in context.ids[organisation] if name in context.cluster.answers
+    ]
     return sum(answer.refusal is None for answer in answers)
 
 
--- a/packages/fescuequay-core/fescuequay_core/admission.py
+++ b/packages/fescuequay-core/fescuequay_core/admission.py
@@ -1,6 +1,5 @@
 """Carries each request from its arrival to its one final answer."""
 
-import collections
 import dataclasses
 import random
 from collections.abc import Iterator, Mapping
@@ -30,8 +29,9 @@
 from fescuequay_core.limits import Admission, LimitController
 from fescuequay_core.membership import MembershipController
 from fescuequay_core.messages import Heartbeat, LoanAnswer
+from fescuequay_core.queues import GroupQueues
 from fescuequay_core.requests import Answer, Outcome, Request
-from fescuequay_core.routing import RETRY_SOON_S, Dispatch, Refuse, Router, Wait
+from fescuequay_core.routing import Dispatch, Refuse, Router, Wait
 from fescuequay_core.targets import TargetController
 from fescuequay_core.tokens import Mark
 from fescuequay_core.transactions import TransactionBook
@@ -56,18 +56,6 @@
 _BOUND_KINDS: Final = frozenset((RequestKind.IN_TRANSACTION, RequestKind.COMMIT, RequestKind.ROLLBACK))
 
 
-@dataclasses.dataclass(slots=True)
-class _Lanes:
-    """Waiting requests of one group; reads and writes do not block each other."""
-
-    reads: FairLane = dataclasses.field(default_factory=FairLane)
-    writes: FairLane = dataclasses.field(default_factory=FairLane)
-
-    def of(self, pending: Pending) -> FairLane:
-        """:returns: The lane of a request."""
-        return self.reads if pending.is_read else self.writes
-
-
 class AdmissionController(Controller):
     """Checks, charges, queues, dispatches and answers requests.
 
@@ -100,7 +88,7 @@
         self._router = Router(board)
         self._acks = AckBook(board)
         self._transactions = TransactionBook(board)
-        self._lanes: dict[GroupId, _Lanes] = collections.defaultdict(_Lanes)
+        self._queues = GroupQueues(board)
         self._retry_credit = _MAX_RETRY_CREDIT
 
     def handlers(self) -> Mapping[type[Event], Handler]:
@@ -171,27 +159,13 @@
         if not self._holds_connections(pending.group):
             yield from self._pass_on(pending, self._forwarder.to_host(pending, now))
             return
-        estimate_s = self._estimate_wait_s(pending)
-        bound_s = min(self.board.timing.queue_wait_s, pending.request.deadline - now)
-        if estimate_s > bound_s:
-            detail = f'about {estimate_s:.1f} s of work waits for the group {pending.group!r}'
-            yield from self._refuse(pending, refuse(verdicts.OVERLOADED, detail, estimate_s))
+        refusal = self._queues.overload(pending, now)
+        if refusal is not None:
+            yield from self._refuse(pending, refusal)
             return
-        self._lanes[pending.group].of(pending).add(pending)
+        self._queues.add(pending)
         yield from self._pump(pending.group, now)
 
-    def _estimate_wait_s(self, pending: Pending) -> float:
-        group = self.board.group_of(pending.group)
-        leader = self.board.leader_of(pending.group)
-        if group is None or leader is None:
-            return 0.0
-        names = group.targets if pending.is_read else (leader.target,)
-        views = [self.board.view_of(name) for name in names]
-        connections = sum(view.connections for view in views)
-        slowest_s = max((view.service_time_s for view in views), default=0.0)
-        ahead = self._lanes[pending.group].of(pending).ahead_of(pending.organisation)
-        return ahead * slowest_s / max(connections, 1)
-
     def _holds_connections(self, group_id: GroupId) -> bool:
         group = self.board.group_of(group_id)
         return group is not None and any(self.board.view_of(target).connections for target in group.targets)
@@ -218,8 +192,7 @@
         yield self._execute(pending)
 
     def _pump(self, group: GroupId, now: Instant) -> Iterator[Command]:
-        lanes = self._lanes[group]
-        for lane in (lanes.writes, lanes.reads):
+        for lane in self._queues.lanes_of(group):
             yield from self._pump_lane(lane, now)
 
     def _pump_lane(self, lane: FairLane, now: Instant) -> Iterator[Command]:
@@ -307,7 +280,7 @@
             yield from self._fleet.hurry(now)
             if pending.target is not None:
                 yield from self._targets.probe(pending.target, now)
-            self._lanes[pending.group].of(pending).add(pending)
+            self._queues.add(pending)
             return
         if outcome.verdict is Verdict.MAY_HAVE_RUN and not pending.is_read:
             self._mark_uncertain(pending)
@@ -380,7 +353,7 @@
         yield from self._pump_all(now)
 
     def _pump_all(self, now: Instant) -> Iterator[Command]:
-        for group in tuple(self._lanes):
+        for group in self._queues.groups():
             yield from self._pump(group, now)
 
     def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
@@ -389,30 +362,12 @@
             yield from self._settle(settled)
         for target in tuple(self._acks.targets()):
             yield from self._targets.probe(target, now)
-        for group, lanes in tuple(self._lanes.items()):
-            yield from self._expire(lanes, now)
-            yield from self._pump(group, now)
+        for pending, refusal in self._queues.expire(now):
+            yield from self._refuse(pending, refusal)
+        yield from self._pump_all(now)
         for execute in self._transactions.expire(now):
             yield execute
 
-    def _expire(self, lanes: _Lanes, now: Instant) -> Iterator[Command]:
-        for lane in (lanes.reads, lanes.writes):
-            for pending in lane:
-                waited_s = now - pending.arrived_at
-                if now >= pending.request.deadline or waited_s >= self.board.timing.queue_wait_s:
-                    lane.remove(pending)
-                    yield from self._refuse(pending, self._wait_refusal(pending, waited_s, now))
-
-    def _wait_refusal(self, pending: Pending, waited_s: float, now: Instant) -> Refusal:
-        detail = f'the group {pending.group!r} could not run the request within {waited_s:.1f} s'
-        leader = self.board.leader_of(pending.group)
-        view = self.board.view_of(leader.target) if leader else None
-        is_busy = view is not None and view.failing_since is None and 0 < view.connections <= view.in_flight
-        if is_busy:
-            return refuse(verdicts.OVERLOADED, detail, max(self._estimate_wait_s(pending), 0.1))
-        reason = verdicts.NO_REPLICA if pending.is_read else verdicts.NO_PRIMARY
-        return refuse(reason, detail, RETRY_SOON_S)
-
     def _reply(self, pending: Pending, outcome: Outcome) -> Iterator[Command]:
         self.board.requests_by_id.pop(pending.request.request_id, None)
         view = self.board.view_of(pending.target) if pending.target else None
--- a/packages/fescuequay-core/fescuequay_core/blackboard.py
+++ b/packages/fescuequay-core/fescuequay_core/blackboard.py
@@ -143,6 +143,7 @@
         self.text: Text | None = None
         self.text_number = 0
         self.text_adopted_at: Instant = float('-inf')
+        self.permits_left_at: dict[GroupId, Instant] = {}
         self.is_stopping = False
         self.seat: SeatId | None = None
         self.has_main_share = False
--- a/packages/fescuequay-core/fescuequay_core/fleetwatch.py
+++ b/packages/fescuequay-core/fescuequay_core/fleetwatch.py
@@ -21,7 +21,7 @@
 )
 from fescuequay_core.fleet import FleetRecord, Proposal, with_write_id
 from fescuequay_core.messages import Heartbeat
-from fescuequay_core.types import Instant
+from fescuequay_core.types import Acknowledge, Instant
 
 #: Time after which a missing text is asked for again, in seconds.
 _TEXT_RETRY_S = 0.5
@@ -190,11 +190,21 @@
         if text is None:
             yield Incident('text_rejected', str(applied.number), f'{len(faults)} faults, first: {faults[0].message}')
             return
+        self._note_old_permits(text, applied.number, now)
         self.board.text = text
         self.board.text_adopted_at = now
         self.board.text_number = applied.number
         yield Incident('text_in_force', str(applied.number), f'applied by {applied.author}')
 
+    def _note_old_permits(self, text: config.Text, number: int, now: Instant) -> None:
+        """Remember the groups whose writes others may still acknowledge by permit under an earlier text."""
+        board = self.board
+        is_next = board.text is not None and number == board.text_number + 1
+        for group in text.groups_by_id:
+            service = board.service_of(group)
+            if not is_next or (service is not None and service.acknowledge is Acknowledge.PRIMARY):
+                board.permits_left_at[group] = now
+
     def _write_proposals(self, now: Instant) -> Iterator[Command]:
         if self._write_id is not None or not self._proposals:
             return
--- a/packages/fescuequay-core/fescuequay_core/leadership.py
+++ b/packages/fescuequay-core/fescuequay_core/leadership.py
@@ -298,7 +298,8 @@
         permit_s = self.board.timing.permit_s * (1 + self.board.timing.drift)
         uses_permits = service is None or service.acknowledge is Acknowledge.PRIMARY
         # Another instance may still act on an earlier text under which this service used permits.
-        began_at = self._closing_since[group_id][1] if uses_permits else self.board.text_adopted_at
+        left_at = self.board.permits_left_at.get(group_id, float('-inf'))
+        began_at = self._closing_since[group_id][1] if uses_permits else left_at
         return now >= began_at + permit_s
 
     def _fence(self, group: Group, leader: Leader, attempt: _Attempt, now: Instant) -> Iterator[Command]:
