Specify the core protocol and prove it with z3

Change: six small transition systems (permits, fences, terms, loans, seats, versions) with inductive invariants; each action and guard names the function of the core that carries it. `make prove` proves them, `make prove-mutants` takes out each guard and prints the shortest run that breaks a property.

Found on the way: the lender's margin of 1 + 2 x drift was too small by drift squared; waits now last (1 + drift) / (1 - drift) times the duration.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 test: setup lint  ## lint, then every check that CI runs
 	ls features/*.feature | xargs -P $(JOBS) -I{} $(BIN)/behave --no-color --no-summary --format progress --tags="not @real" {}
 	$(BIN)/behave --no-color --format progress --tags=@real features
+	$(BIN)/python -m spec.prove
+	$(BIN)/python -m spec.prove --mutants > /dev/null
 
 lint: setup  ## formatter, linters, types and the package boundary
 	$(BIN)/ruff format --check $(SOURCES)
@@ -36,10 +38,10 @@
 	$(BIN)/ruff format $(SOURCES)
 
 prove: setup  ## check the specification
-	$(BIN)/python spec/prove.py
+	$(BIN)/python -m spec.prove
 
 prove-mutants: setup  ## remove each guard and print the counterexample
-	$(BIN)/python spec/prove.py --mutants
+	$(BIN)/python -m spec.prove --mutants
 
 measure: setup  ## run the two workloads on stand-ins and print the table
 	$(BIN)/python lab/measure.py
--- a/packages/fescuequay-core/fescuequay_core/blackboard.py
+++ b/packages/fescuequay-core/fescuequay_core/blackboard.py
@@ -181,15 +181,15 @@
     def has_permit(self, now: Instant) -> bool:
         """Tell whether the leader records were confirmed recently enough to act on them alone.
 
-        The permit counts from the beginning of the confirming read, and is shortened by the drift,
-        so that a promoter that waits the full length has surely outlived it.
+        The permit counts from the beginning of the confirming read; a promoter waits longer than its
+        length by the drift of both clocks.
 
         :param now: Present time.
         :returns: Whether the permit still runs.
         """
         if self.confirmed_at is None:
             return False
-        return now - self.confirmed_at < self.timing.permit_s * (1 - self.timing.drift)
+        return now - self.confirmed_at < self.timing.permit_s
 
     def view_age_s(self, now: Instant) -> float:
         """:returns: Age of the latest confirmation, by this instance or relayed by a peer."""
--- a/packages/fescuequay-core/fescuequay_core/leadership.py
+++ b/packages/fescuequay-core/fescuequay_core/leadership.py
@@ -295,7 +295,7 @@
         :param now: Present time.
         """
         service = self.board.service_of(group_id)
-        permit_s = self.board.timing.permit_s * (1 + self.board.timing.drift)
+        permit_s = self.board.timing.surely_s(self.board.timing.permit_s)
         uses_permits = service is None or service.acknowledge is Acknowledge.PRIMARY
         # Another instance may still act on an earlier text under which this service used permits.
         left_at = self.board.permits_left_at.get(group_id, float('-inf'))
--- a/packages/fescuequay-core/fescuequay_core/limits.py
+++ b/packages/fescuequay-core/fescuequay_core/limits.py
@@ -250,7 +250,7 @@
         if known is not None:
             return known
         self._sync(now)
-        safe_until = now + self.board.timing.loan_s * (1 + 2 * self.board.timing.drift)
+        safe_until = now + self.board.timing.surely_s(self.board.timing.loan_s)
         for loan_id in request.returns:
             for account in self._accounts.values():
                 account.allotment.end(loan_id, now, is_lender=True)
--- a/packages/fescuequay-core/fescuequay_core/seats.py
+++ b/packages/fescuequay-core/fescuequay_core/seats.py
@@ -166,16 +166,15 @@
 
     def _is_free(self, row: Seat) -> bool:
         timing = self.board.timing
-        return row.holder is None or row.is_released or row.age_s >= self._safe(timing.seat_lease_s + timing.loan_s)
-
-    def _safe(self, duration_s: float) -> float:
-        return duration_s * (1 + 2 * self.board.timing.drift)
+        return (
+            row.holder is None or row.is_released or row.age_s >= timing.surely_s(timing.seat_lease_s + timing.loan_s)
+        )
 
     def _claim(self, row: Seat, now: Instant) -> Iterator[Command]:
         timing = self.board.timing
         floor_free_in_s = max(row.floor_free_in_s - row.age_s, 0)
         if row.holder is not None and not row.is_released:
-            floor_free_in_s = max(floor_free_in_s, self._safe(timing.floor_lease_s + timing.loan_s) - row.age_s)
+            floor_free_in_s = max(floor_free_in_s, timing.surely_s(timing.floor_lease_s + timing.loan_s) - row.age_s)
         self._claiming = row
         yield WriteSeat(row.seat, self.board.instance, row.etag, floor_free_in_s=max(floor_free_in_s, 0))
         self._claimed_floor_s = max(floor_free_in_s, 0)
@@ -200,7 +199,7 @@
     def _take_over(self, row: Seat, now: Instant) -> None:
         self.board.seat = row.seat
         self.is_fresh = row.holder is None
-        wait_s = 0 if self.is_fresh else self._safe(self.board.timing.loan_s)
+        wait_s = 0 if self.is_fresh else self.board.timing.surely_s(self.board.timing.loan_s)
         self.usable_from = now + wait_s
-        self.floor_from = now + self._safe(self._claimed_floor_s)
+        self.floor_from = now + self.board.timing.surely_s(self._claimed_floor_s)
         self.main_until = self.floor_until = _NEVER
--- a/packages/fescuequay-core/fescuequay_core/settings.py
+++ b/packages/fescuequay-core/fescuequay_core/settings.py
@@ -22,7 +22,7 @@
     :param suspect_after_s: Silence of a primary after which its group looks for another.
     :param takeover_after_s: Stay of a promotion in one step after which another instance takes over.
     :param fence_retry_s: Interval of repeated fence and promote requests.
-    :param drift: Largest relative difference between two clocks.
+    :param drift: Largest error of the rate of one clock, as a part of it.
     :param queue_wait_s: Longest wait of a request for a connection or a primary.
     :param replica_wait_s: Longest wait of a read for a replica to catch up.
     :param seat_lease_s: Time a seat is kept without renewal.
@@ -59,6 +59,14 @@
     transaction_idle_s: _Seconds = 10.0
     drain_s: _Seconds = 20.0
 
+    def surely_s(self, duration_s: float) -> float:
+        """Tell how long to wait here until a duration has surely passed on every other clock.
+
+        :param duration_s: The duration.
+        :returns: The longer duration on this instance's clock.
+        """
+        return duration_s * (1 + self.drift) / (1 - self.drift)
+
 
 class Identity(msgspec.Struct, frozen=True):
     """Who one instance is.
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, checked with z3."""
--- /dev/null
+++ b/spec/prove.py
@@ -0,0 +1,84 @@
+"""Checks the specification; with --mutants, shows a counterexample for each guard taken out."""
+
+import importlib
+import sys
+import time
+from collections.abc import Iterator
+
+import click
+
+from spec import fences, loans, permits, seats, terms, versions
+from spec.transition import System, counterexample, guard_names, prove
+
+SYSTEMS = (permits.SYSTEM, fences.SYSTEM, terms.SYSTEM, loans.SYSTEM, seats.SYSTEM, versions.SYSTEM)
+
+
+@click.command()
+@click.option('--mutants', is_flag=True, help='Take out each guard and print the shortest counterexample.')
+def main(*, mutants: bool) -> None:
+    """Prove every property of the specification for any number of steps."""
+    started_at = time.monotonic()
+    failures = sum(_show_mutants(system) if mutants else _show_proofs(system) for system in SYSTEMS)
+    faults = (*missing_names(), *unlisted_guards())
+    for fault in faults:
+        click.echo(f'FAULT     {fault}')
+    count = failures + len(faults)
+    click.echo(f'{"ok" if not count else "FAILED"} after {time.monotonic() - started_at:.1f} s')
+    sys.exit(1 if count else 0)
+
+
+def missing_names() -> Iterator[str]:
+    """Iterate over functions that the specification names and that do not exist.
+
+    :returns: One sentence each.
+    """
+    carriers = {
+        part.carried_by
+        for system in SYSTEMS
+        for part in (*system.actions, *system.guards.values())
+        if part.carried_by != 'environment'
+    }
+    for name in sorted(carriers):
+        module_name, _, path = name.partition(':')
+        found: object = importlib.import_module(module_name)
+        for attribute in path.split('.'):
+            found = getattr(found, attribute, None)
+        if not callable(found):
+            yield f'{name} is named by the specification and not in the code'
+
+
+def unlisted_guards() -> Iterator[str]:
+    """Iterate over guards that actions ask for and that are not listed, or the other way round.
+
+    :returns: One sentence each.
+    """
+    for system in SYSTEMS:
+        for name in sorted(guard_names(system) ^ set(system.guards)):
+            yield f'{system.name}: the guard "{name}" is not both listed and used'
+
+
+def _show_proofs(system: System) -> int:
+    results = dict(prove(system))
+    claims = {name.split(': ')[0] for name in results}
+    broken = {name.split(': ')[0]: name for name, holds in results.items() if not holds}
+    for claim in sorted(claims):
+        verdict = f'BROKEN ({broken[claim]})' if claim in broken else 'proved'
+        click.echo(f'{system.name:9} {claim}: {verdict}')
+    return len(broken)
+
+
+def _show_mutants(system: System) -> int:
+    survivors = 0
+    for guard in system.guards.values():
+        trace = counterexample(system, guard.name)
+        click.echo(f'{system.name}: without "{guard.name}" ({guard.carried_by})')
+        if trace is None:
+            survivors += 1
+            click.echo('    SURVIVED: no counterexample within the depth')
+        for line in trace or ():
+            click.echo(f'    {line}')
+    return survivors
+
+
+if __name__ == '__main__':
+    main()
