--- a/features/cluster.py
+++ b/features/cluster.py
@@ -1,6 +1,7 @@
 """Several cores on fakes in virtual time, with the faults of the network between them."""
 
 import hashlib
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -83,6 +84,7 @@
         self.runs: list[tuple[str, str]] = []
         self.incidents: list[tuple[float, str, commands.Incident]] = []
         self.handed: list[tuple[float, str, str]] = []
+        self.disorder: random.Random | None = None
         self.hooks: dict[str, list[Callable[[Node], None]]] = {}
         self._numbers = 0
         self.plain = plain
@@ -119,11 +121,11 @@
         assert changed is not None
         self.platform.write_fleet(with_write_id(changed, f'operator.{number}'), self.platform.etag())
 
-    def send(self, node: str, **changes: Any) -> str:
+    def send(self, node: str, timeout_s: float = 5.0, **changes: Any) -> str:
         """Send one request; its answer will be in ``answers`` under the returned id."""
         self._numbers += 1
         where = self.nodes[node]
-        request = builders.request(self._numbers, where.now(), **changes)
+        request = builders.request(self._numbers, where.now(), deadline=where.now() + timeout_s, **changes)
         self.sent[request.request_id] = (self.now(), request)
         where.post(events.RequestArrived(request))
         return request.request_id
@@ -165,9 +167,9 @@
                 self.platform.lose_answers -= 1
                 self.after(0.5, lambda: done(None))
                 return
-            self.after(LINK_S, lambda: done(found))
+            self.after(LINK_S + self._disorder_s(), lambda: done(found))
 
-        node.do(lambda: self.after(LINK_S + self.platform.delay_s, arrive))
+        node.do(lambda: self.after(LINK_S + self.platform.delay_s + self._disorder_s(), arrive))
 
     def _do_ReadFleet(self, node: Node, command: commands.ReadFleet) -> None:
         started_at = node.now()
@@ -208,6 +210,12 @@
 
         self._at_platform(node, lambda: self.platform.objects[command.digest], done)
 
+    def _disorder_s(self) -> float:
+        """:returns: Time by which a message is late, so that messages overtake each other."""
+        if self.disorder is None or self.disorder.random() < 0.7:
+            return 0.0
+        return self.disorder.uniform(0, 1.5)
+
     def _holds_text(self, peer: str) -> bool:
         board = self.nodes[peer].core.board
         return board.record.text is not None and board.text_number == board.record.text.number
@@ -264,7 +272,12 @@
                 else:
                     self.carry_out(other, reply)
 
-        node.do(lambda: self.after(LINK_S, arrive))
+        def send() -> None:
+            self.after(LINK_S + self._disorder_s(), arrive)
+            if self.disorder is not None and self.disorder.random() < 0.3:
+                self.after(LINK_S + self.disorder.uniform(0, 4), arrive)
+
+        node.do(send)
 
     def _do_Forward(self, node: Node, command: commands.Forward) -> None:
         name = command.request.request_id
--- /dev/null
+++ b/features/contracts.py
@@ -0,0 +1,226 @@
+"""What each outside interface must do, clause by clause, against whatever implementation is given.
+
+A clause takes an implementation behind the product's abstract class and switches for its faults, so a
+real platform or database can take the stand-in's place.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from fescuequay_core.events import WriteResult
+from fescuequay_core.requests import Statement
+from fescuequay_core.types import Digest, Role, Term
+from fescuequay_entry.driver import ConnectError, Connection, Driver, Endpoint, LostError, TargetError
+from fescuequay_entry.platform import HttpPlatform, ObjectStore, PlatformError, Table
+
+
+class Switches(Protocol):
+    """Faults that the bench can put into an implementation."""
+
+    async def set(self, fault: str) -> None:
+        """Put a fault in, or take all out with an empty name."""
+
+
+Clause = Callable[[Any, Switches], Awaitable[None]]
+
+
+async def _raises(error: type[Exception], work: Awaitable[Any]) -> Exception:
+    try:
+        await work
+    except error as found:
+        return found
+    raise AssertionError(f'{error.__name__} was expected')
+
+
+async def row_is_created_once(table: Table, switches: Switches) -> None:
+    """Two writers of a new row: one is accepted, the other meets a conflict."""
+    results = [(await table.write('new', body, None))[0] for body in (b'1', b'2')]
+    assert results == [WriteResult.ACCEPTED, WriteResult.CONFLICT]
+    assert (await table.read('new', None)).body == b'1'
+
+
+async def row_changes_only_over_its_version(table: Table, switches: Switches) -> None:
+    """A write over an old version changes nothing."""
+    _, first = await table.write('row', b'1', None)
+    result, second = await table.write('row', b'2', first)
+    assert result is WriteResult.ACCEPTED and second != first
+    assert (await table.write('row', b'3', first))[0] is WriteResult.CONFLICT
+    row = await table.read('row', None)
+    assert (row.body, row.etag) == (b'2', second)
+
+
+async def unchanged_row_is_not_sent(table: Table, switches: Switches) -> None:
+    """A reader that holds the version gets no body."""
+    _, etag = await table.write('row', b'1', None)
+    assert (await table.read('row', etag)).body is None
+    assert (await table.read('absent', None)).etag is None
+
+
+async def age_counts_from_the_change(table: Table, switches: Switches) -> None:
+    """The age of a row grows and begins anew with a change."""
+    _, etag = await table.write('a/1', b'1', None)
+    await asyncio.sleep(0.05)
+    old = (await table.read_prefix('a/'))[0].age_s
+    await table.write('a/1', b'2', etag)
+    new = (await table.read_prefix('a/'))[0].age_s
+    assert new < old, (new, old)
+
+
+async def lost_answer_is_unknown(table: Table, switches: Switches) -> None:
+    """A write whose answer is lost is reported as unknown, and the row tells that it took effect."""
+    await switches.set('lose one answer')
+    result, _ = await table.write('row', b'1', None)
+    assert result is WriteResult.UNKNOWN
+    assert (await table.read('row', None)).body == b'1'
+
+
+async def outage_is_an_error(table: Table, switches: Switches) -> None:
+    """Reads fail with the typed error, writes are unknown."""
+    await switches.set('down')
+    await _raises(PlatformError, table.read('row', None))
+    await _raises(PlatformError, table.read_prefix('a/'))
+    assert (await table.write('row', b'1', None))[0] is WriteResult.UNKNOWN
+
+
+async def object_is_what_was_put(store: ObjectStore, switches: Switches) -> None:
+    """An object is found under the digest of its stored form."""
+    body = b'text ' * 1000
+    assert await store.get(await store.put(body)) == body
+
+
+async def absent_object_is_an_error(store: ObjectStore, switches: Switches) -> None:
+    """An unknown name gives the typed error."""
+    await _raises(PlatformError, store.get(Digest(hashlib.sha256(b'absent').hexdigest())))
+
+
+async def damaged_object_is_an_error(store: ObjectStore, switches: Switches) -> None:
+    """An object that does not match its name is not used."""
+    digest = await store.put(b'text')
+    await switches.set('damage objects')
+    await _raises(PlatformError, store.get(digest))
+
+
+async def instances_are_listed(platform: HttpPlatform, switches: Switches) -> None:
+    """The list gives each instance's place and whether it leaves."""
+    await switches.set('list two instances')
+    members = {member.instance: member for member in await platform.members()}
+    assert {name: member.is_leaving for name, member in members.items()} == {'a': False, 'b': True}
+
+
+async def _open(driver: Driver, endpoint: Endpoint) -> Connection:
+    return await driver.connect(endpoint, 1.0)
+
+
+async def status_tells_role_and_term(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """One member is primary, the others are replicas of its term."""
+    statuses = [await (await _open(subject[0], endpoint)).status() for endpoint in subject[1]]
+    assert [status.role for status in statuses] == [Role.PRIMARY, Role.REPLICA, Role.REPLICA]
+    assert len({status.term for status in statuses}) == 1
+
+
+async def position_grows_and_is_replicated(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A committed write is before the position that a later status tells; replicas get there."""
+    primary, replica = [await _open(subject[0], endpoint) for endpoint in subject[1][:2]]
+    before = (await primary.status()).position
+    await primary.execute(Statement('create table t (x integer)'))
+    after = (await primary.status()).position
+    assert after > before
+    for _ in range(200):
+        if (await replica.status()).position >= after:
+            break
+        await asyncio.sleep(0.01)
+    assert (await replica.status()).position >= after
+    assert (await primary.status()).replicated >= after
+
+
+async def replica_refuses_writes(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A write at a replica fails as one at a target that does not lead."""
+    replica = await _open(subject[0], subject[1][1])
+    error = await _raises(TargetError, replica.execute(Statement('create table t (x integer)')))
+    assert isinstance(error, TargetError) and error.is_not_primary
+
+
+async def fenced_primary_refuses_writes(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """After a fence no write of an earlier term is taken, and a lower fence is refused."""
+    primary = await _open(subject[0], subject[1][0])
+    term = (await primary.status()).term
+    status = await primary.fence(Term(term + 2))
+    assert status.fence == term + 2
+    await _raises(TargetError, primary.execute(Statement('create table t (x integer)')))
+    await _raises(TargetError, primary.fence(Term(term + 1)))
+
+
+async def promotion_needs_its_fence(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A replica leads only in the term that it is fenced at; asking again gives the same start."""
+    replica = await _open(subject[0], subject[1][1])
+    term = Term((await replica.status()).term + 1)
+    await _raises(TargetError, replica.promote(term))
+    await replica.fence(term)
+    start = await replica.promote(term)
+    await replica.execute(Statement('create table t (x integer)'))
+    assert await replica.promote(term) == start
+    assert (await replica.status()).role is Role.PRIMARY
+
+
+async def read_only_connection_refuses_writes(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A connection that is set to read only refuses writes until it is set back."""
+    primary = await _open(subject[0], subject[1][0])
+    await primary.set_read_only(is_read_only=True)
+    await _raises(TargetError, primary.execute(Statement('create table t (x integer)')))
+    await primary.set_read_only(is_read_only=False)
+    await primary.execute(Statement('create table t (x integer)'))
+
+
+async def left_transaction_is_noticed(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A connection with an open transaction or a changed setting is not clean."""
+    for sql in ('begin', 'set search_path = x'):
+        connection = await _open(subject[0], subject[1][0])
+        assert connection.is_clean
+        await connection.execute(Statement(sql))
+        assert not connection.is_clean, sql
+
+
+async def silent_target_is_lost_or_unreachable(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """A crash ends open connections with the typed error, and new ones cannot be opened."""
+    connection = await _open(subject[0], subject[1][0])
+    await switches.set('down')
+    await _raises(LostError, connection.execute(Statement('select 1 as x')))
+    await _raises(ConnectError, _open(subject[0], subject[1][0]))
+
+
+async def connections_are_bounded(subject: tuple[Driver, list[Endpoint]], switches: Switches) -> None:
+    """The target refuses connections beyond its limit before anything was sent."""
+    for _ in range(3):
+        await _open(subject[0], subject[1][2])
+    await _raises(ConnectError, _open(subject[0], subject[1][2]))
+
+
+CLAUSES: dict[str, dict[str, Clause]] = {
+    'table': {
+        'a new row is created once': row_is_created_once,
+        'a row changes only over its version': row_changes_only_over_its_version,
+        'an unchanged row is not sent': unchanged_row_is_not_sent,
+        'the age of a row counts from its change': age_counts_from_the_change,
+        'a lost answer is unknown': lost_answer_is_unknown,
+        'an outage is an error': outage_is_an_error,
+    },
+    'object store': {
+        'an object is what was put': object_is_what_was_put,
+        'an absent object is an error': absent_object_is_an_error,
+        'a damaged object is an error': damaged_object_is_an_error,
+    },
+    'instance list': {'instances are listed': instances_are_listed},
+    'database driver': {
+        'the status tells role and term': status_tells_role_and_term,
+        'the position grows and is replicated': position_grows_and_is_replicated,
+        'a replica refuses writes': replica_refuses_writes,
+        'a fenced primary refuses writes': fenced_primary_refuses_writes,
+        'a promotion needs its fence': promotion_needs_its_fence,
+        'a read-only connection refuses writes': read_only_connection_refuses_writes,
+        'a left transaction is noticed': left_transaction_is_noticed,
+        'a crashed target is lost or unreachable': silent_target_is_lost_or_unreachable,
+        'connections are bounded': connections_are_bounded,
+    },
+}
--- a/features/load.py
+++ b/features/load.py
@@ -17,6 +17,7 @@
         self, cluster: Cluster, number: int, organisation: str, rng: random.Random, home: str | None = None
     ) -> None:
         self.home = home
+        self.timeout_s = 5.0
         self.cluster = cluster
         self.rng = rng
         self.organisation = organisation
@@ -42,11 +43,15 @@
         self.turn += 1
         digest = keys.digest_of(builders.key_of(self.organisation))
         if self.turn % 3 == 0:
-            self.current = self.cluster.read(node, token=self.token, key_digest=digest, route=RouteId(builders.READS))
+            self.current = self.cluster.read(
+                node, token=self.token, key_digest=digest, route=RouteId(builders.READS), timeout_s=self.timeout_s
+            )
             self.reads.append((self.current, frozenset(self.acked)))
             return
         key = f'k{self.number}-{self.turn}' if self.turn % 5 == 0 else None
-        self.current = self.cluster.write(node, token=self.token, key_digest=digest, idempotency_key=key)
+        self.current = self.cluster.write(
+            node, token=self.token, key_digest=digest, idempotency_key=key, timeout_s=self.timeout_s
+        )
         self.writes.append((self.current, key or self.current, key is not None))
 
     def _take(self, answer: Any) -> None:
--- a/packages/fescuequay-core/fescuequay_core/blackboard.py
+++ b/packages/fescuequay-core/fescuequay_core/blackboard.py
@@ -149,6 +149,7 @@
         self.has_main_share = False
         self.has_floor_share = False
         self.targets_by_id: dict[TargetId, TargetView] = {}
+        self.hosted_groups: dict[GroupId, Group] = {}
         self.positions_by_group: dict[GroupId, collections.deque[tuple[Instant, Position]]] = {}
         self.peers_by_id: dict[InstanceId, PeerView] = {}
         self.members_by_id: dict[InstanceId, Member] = {}
--- a/packages/fescuequay-core/fescuequay_core/leadership.py
+++ b/packages/fescuequay-core/fescuequay_core/leadership.py
@@ -100,19 +100,13 @@
         }
 
     def _on_tick(self, event: Tick, now: Instant) -> Iterator[Command]:
-        if self.board.text is None:
-            return
-        for group_id, group in self.board.text.groups_by_id.items():
-            if self._is_host(group):
-                yield from self._step(group_id, group, now)
+        for group_id, group in self.board.hosted_groups.items():
+            yield from self._step(group_id, group, now)
         for group_id in tuple(self._attempts):
             leader = self.board.leader_of(group_id)
             if leader is None or leader.state is not LeaderState.CLOSING:
                 self._attempts.pop(group_id)
 
-    def _is_host(self, group: Group) -> bool:
-        return any(self.board.view_of(target).connections for target in group.targets)
-
     def _step(self, group_id: GroupId, group: Group, now: Instant) -> Iterator[Command]:
         leader = self.board.leader_of(group_id)
         self._note_changes(group_id, leader, now)
@@ -400,9 +394,9 @@
 
     def _continue(self, now: Instant) -> Iterator[Command]:
         """Go on with the promotions that this instance carries out, without waiting for the timer."""
-        for group_id, leader in self.board.record.leaders.items():
-            group = self.board.group_of(group_id)
-            if group is not None and leader.state is LeaderState.CLOSING and leader.promoter == self.board.instance:
+        for group_id, group in self.board.hosted_groups.items():
+            leader = self.board.leader_of(group_id)
+            if leader is not None and leader.state is LeaderState.CLOSING and leader.promoter == self.board.instance:
                 self._note_changes(group_id, leader, now)
                 yield from self._promote(group_id, group, leader, now)
 
--- a/packages/fescuequay-core/fescuequay_core/limits.py
+++ b/packages/fescuequay-core/fescuequay_core/limits.py
@@ -71,6 +71,11 @@
         self.gained_units = 0.0
         self.fruitless_until: Instant = float('-inf')
 
+    @property
+    def is_active(self) -> bool:
+        """:returns: Whether anything of it needs a look at the next review."""
+        return self.arrivals > 0 or self.demand_per_s > _LEAST_WAIT_S or bool(self.allotment.borrowed_by_id)
+
 
 class LimitController(Controller):
     """Admits requests from local buckets and moves shares between instances by short loans.
@@ -165,15 +170,16 @@
             return
         elapsed_s = now - self._reviewed_at if self._reviewed_at is not None else _REVIEW_S
         self._reviewed_at = now
-        for account in self._accounts.values():
+        active = {name: account for name, account in self._accounts.items() if account.is_active}
+        for account in active.values():
             latest = account.arrivals / max(elapsed_s, _LEAST_WAIT_S)
             account.demand_per_s += _DEMAND_WEIGHT * (latest - account.demand_per_s)
             account.arrivals = 0
         self._asks = {ask: entry for ask, entry in self._asks.items() if now - entry[0] < self.board.timing.loan_s}
-        short = {name: account for name, account in self._accounts.items() if self._is_short(account, now)}
+        short = {name: account for name, account in active.items() if self._is_short(account, now)}
         if not self.board.is_stopping:
             yield from self._ask(short, now)
-        yield from self._give_back(now)
+        yield from self._give_back(active, now)
 
     def _is_short(self, account: _Account, now: Instant) -> bool:
         if now < account.fruitless_until:
@@ -213,10 +219,10 @@
             account.asked_at = now
             account.gained_units = 0.0
 
-    def _give_back(self, now: Instant) -> Iterator[Command]:
+    def _give_back(self, accounts: dict[OrganisationId, _Account], now: Instant) -> Iterator[Command]:
         """Return loans of refill that demand no longer needs, so that others need not wait for their end."""
         returns_by_peer: dict[InstanceId, list[str]] = collections.defaultdict(list)
-        for account in self._accounts.values():
+        for account in accounts.values():
             kept = set(_needed_loans(account, slack=_SLACK))
             for loan_id, running in tuple(account.allotment.borrowed_by_id.items()):
                 if loan_id not in kept and running.loan.rate_per_s > 0:
--- a/packages/fescuequay-core/fescuequay_core/membership.py
+++ b/packages/fescuequay-core/fescuequay_core/membership.py
@@ -77,7 +77,10 @@
         )
 
     def _silent_primaries(self, now: Instant) -> Iterator[TargetId]:
-        for leader in self.board.record.leaders.values():
+        for group in self.board.hosted_groups:
+            leader = self.board.leader_of(group)
+            if leader is None:
+                continue
             view = self.board.targets_by_id.get(leader.target)
             if view is not None and view.failing_since is not None:
                 if now - view.failing_since > self.board.timing.suspect_after_s:
--- a/packages/fescuequay-core/fescuequay_core/targets.py
+++ b/packages/fescuequay-core/fescuequay_core/targets.py
@@ -52,25 +52,28 @@
         text = self.board.text
         if text is None:
             return
-        self._update_shares(text)
-        yield from self._size_pools(text)
-        for target_id in text.targets_by_id:
-            view = self.board.view_of(target_id)
-            if now - view.probed_at >= self.board.timing.probe_s:
-                yield from self.probe(target_id, now)
+        board = self.board
+        key = (board.text_number, board.seat, board.has_main_share, board.has_floor_share)
+        if key != self._shares_key:
+            self._shares_key = key
+            self._update_shares(text)
+            yield from self._size_pools(text)
+        for group in board.hosted_groups.values():
+            for target_id in group.targets:
+                if now - board.view_of(target_id).probed_at >= board.timing.probe_s:
+                    yield from self.probe(target_id, now)
 
     def _update_shares(self, text: Text) -> None:
         board = self.board
-        key = (board.text_number, board.seat, board.has_main_share, board.has_floor_share)
-        if key == self._shares_key:
-            return
-        self._shares_key = key
         self._shares = {}
+        board.hosted_groups = {}
         for group_id, group in text.groups_by_id.items():
             hosts = hosts_of(text, group_id, group)
             for target_id, target in group.targets.items():
                 share = connection_share(hosts, board.seat, target.connections) if board.seat else 0
                 self._shares[target_id] = self._usable(share)
+                if self._shares[target_id]:
+                    board.hosted_groups[group_id] = group
 
     def _usable(self, share: int) -> int:
         # The floor of a seat is one connection: a cut-off holder may keep it, so a successor does without.
--- a/packages/fescuequay-entry/fescuequay_entry/platform.py
+++ b/packages/fescuequay-entry/fescuequay_entry/platform.py
@@ -117,6 +117,12 @@
     body: str
 
 
+class _Condition(msgspec.Struct, frozen=True):
+    key: str
+    etag: str | None
+    body: str
+
+
 class HttpPlatform(Table, ObjectStore, InstanceList):
     """Speaks to the platform over HTTP with JSON.
 
@@ -153,14 +159,16 @@
 
     async def write(self, key: str, body: bytes, etag: str | None) -> tuple[WriteResult, str | None]:
         """:returns: What the platform said, and the new version."""
-        headers = {'If-Match': f'"{etag}"'} if etag else {'If-None-Match': '*'}
+        # The HTTP client repeats a PUT by itself when a kept connection breaks, and the repeat would
+        # meet the first one's effect as a conflict. A POST is never repeated.
+        rows = msgspec.json.encode([_Condition(key, etag, body.decode())])
         try:
-            status, answer_headers, _ = await self._ask('PUT', f'/table/{key}', headers=headers, data=body)
+            status, _, answer = await self._ask('POST', '/transactions', data=rows)
+            if status == _CONFLICT_STATUS:
+                return WriteResult.CONFLICT, None
+            return WriteResult.ACCEPTED, _decode(answer, list[str])[0]
         except PlatformError:
             return WriteResult.UNKNOWN, None
-        if status == _CONFLICT_STATUS:
-            return WriteResult.CONFLICT, None
-        return WriteResult.ACCEPTED, answer_headers.get('ETag', '').strip('"')
 
     async def get(self, digest: Digest) -> bytes:
         """:returns: The object."""
