--- a/Makefile
+++ b/Makefile
@@ -44,10 +44,10 @@
 	$(BIN)/python -m spec.prove --mutants
 
 measure: setup  ## run the two workloads on stand-ins and print the table
-	$(BIN)/python lab/measure.py
+	$(BIN)/python -m lab.measure
 
 capacity: setup  ## print the tables of docs/CAPACITY.md from measured slopes
-	$(BIN)/python lab/capacity.py
+	$(BIN)/python -m lab.capacity
 
 clean:  ## remove the virtual environment and caches
 	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- a/features/cluster.py
+++ b/features/cluster.py
@@ -84,6 +84,7 @@
         self.runs: list[tuple[str, str]] = []
         self.incidents: list[tuple[float, str, commands.Incident]] = []
         self.handed: list[tuple[float, str, str]] = []
+        self.work_s = WORK_S
         self.disorder: random.Random | None = None
         self.hooks: dict[str, list[Callable[[Node], None]]] = {}
         self._numbers = 0
@@ -363,7 +364,7 @@
                 remaining_s = max(request.deadline - node.now(), 0)
                 self.after(remaining_s, lambda: done(_failed(Verdict.MAY_HAVE_RUN, 'silent')))
             else:
-                self.after(WORK_S, lambda: done(self._execute(node, command)))
+                self.after(self.work_s, lambda: done(self._execute(node, command)))
 
         node.do(lambda: self.after(LINK_S, arrive))
 
--- /dev/null
+++ b/lab/figures.py
@@ -0,0 +1,90 @@
+"""Turns the operations of a run into the users' four measures."""
+
+import collections
+from collections.abc import Iterable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from features.judge import History, Limit, Write, violations
+from fescuequay_core.types import Verdict
+from lab.workload import Op
+
+_MICROSECONDS = 1_000_000
+
+
+def replica_share(ops: Iterable[Op]) -> float:
+    """:returns: Share of the served reads that replicas served."""
+    roles = collections.Counter(op.role for op in ops if not op.is_write and op.status == 200)
+    return roles['replica'] / max(sum(roles.values()), 1)
+
+
+def write_gaps(ops: Iterable[Op], faults: list[dict[str, Any]]) -> dict[str, float]:
+    """Find the longest time without a served write of any group after each fault.
+
+    :param ops: Operations.
+    :param faults: Faults with their times.
+    :returns: Gap by fault, in seconds.
+    """
+    served = sorted(op.at + op.took_s for op in ops if op.is_write and op.status == 200)
+    gaps = {}
+    marks = [fault for fault in faults if fault['fault'] != 'mend']
+    for place, fault in enumerate(marks):
+        end = marks[place + 1]['at'] if place + 1 < len(marks) else float('inf')
+        times = [at for at in served if fault['at'] - 0.5 <= at < end]
+        gaps[fault['fault']] = max((b - a for a, b in zip(times, times[1:], strict=False)), default=0.0)
+    return gaps
+
+
+def organisations(ops: list[Op], limits: dict[str, Limit]) -> dict[str, dict[str, float]]:
+    """Judge each refusal by an ideal bucket of the whole fleet.
+
+    :param ops: Operations.
+    :param limits: Limits by organisation.
+    :returns: Counts by organisation; ``share`` is what was served of what the limit allowed it to ask.
+    """
+    found = {}
+    for name, limit in limits.items():
+        level, last = limit.burst, 0.0
+        counts = dict.fromkeys(('sent', 'served', 'rightful', 'wrongful', 'failed'), 0.0)
+        for op in sorted((op for op in ops if op.organisation == name), key=lambda op: op.at):
+            level = min(limit.burst, level + limit.rate_per_s * (op.at - last))
+            last = op.at
+            counts['sent'] += 1
+            is_inside = level >= 1
+            if op.status == 200:
+                counts['served'] += 1
+                level -= 1
+            elif not is_inside or op.reason == 'key_unknown':
+                counts['rightful'] += 1
+            elif op.verdict == 'not_run':
+                counts['wrongful'] += 1
+            else:
+                counts['failed'] += 1
+        allowed = max(counts['sent'] - counts['rightful'], 1)
+        found[name] = {**counts, 'share': counts['served'] / allowed}
+    return found
+
+
+def percentiles(ops: Iterable[Op]) -> dict[str, float]:
+    """:returns: Latency in ms from when each request was due, by percentile."""
+    histogram = HdrHistogram(1, 60 * _MICROSECONDS, 3)
+    for op in ops:
+        if op.status == 200:
+            histogram.record_value(max(int(op.took_s * _MICROSECONDS), 1))
+    return {f'p{mark}': histogram.get_value_at_percentile(mark) / 1000 for mark in (50, 90, 99, 99.9)}
+
+
+def broken_promises(ops: list[Op], held: list[str]) -> list[str]:
+    """Let the judge look at a run.
+
+    :param ops: Operations.
+    :param held: Rows that the databases hold in the end.
+    :returns: One sentence for each broken promise.
+    """
+    writes = tuple(
+        Write(op.name, op.status == 200, Verdict(op.verdict) if op.verdict else None) for op in ops if op.is_write
+    )
+    found = list(violations(History(writes=writes, log=tuple(held), runs=tuple(held))))
+    stale = sum(op.missing > 0 for op in ops)
+    return found + ([f'{stale} reads missed their own writes'] if stale else [])
--- a/packages/fescuequay-core/fescuequay_core/journal.py
+++ b/packages/fescuequay-core/fescuequay_core/journal.py
@@ -2,14 +2,15 @@
 
 import collections
 import dataclasses
+import heapq
 from collections.abc import Iterator
 from typing import Final
 
 from fescuequay_core.commands import Incident
 from fescuequay_core.types import Instant
 
-#: Incidents that are kept; the oldest are forgotten first.
-MAX_INCIDENTS: Final = 4096
+#: Incidents of one name that are kept, so that a flood of refusals does not push out a failover.
+MAX_INCIDENTS: Final = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +29,7 @@
     """Keeps the latest incidents for ``fescuequayctl explain``."""
 
     def __init__(self) -> None:
-        self._entries: collections.deque[Entry] = collections.deque(maxlen=MAX_INCIDENTS)
+        self._entries_by_name: dict[str, collections.deque[Entry]] = {}
 
     def note(self, incident: Incident, now: Instant) -> None:
         """Remember an incident.
@@ -36,7 +37,8 @@
         :param incident: What happened.
         :param now: Present time.
         """
-        self._entries.append(Entry(now, incident))
+        entries = self._entries_by_name.setdefault(incident.name, collections.deque(maxlen=MAX_INCIDENTS))
+        entries.append(Entry(now, incident))
 
     def about(self, subject: str) -> Iterator[Entry]:
         """Iterate over what concerns a request, group, organisation, target or instance.
@@ -44,7 +46,8 @@
         :param subject: Its id.
         :returns: Entries, oldest first.
         """
-        for entry in self._entries:
+        entries = heapq.merge(*self._entries_by_name.values(), key=lambda entry: entry.at)
+        for entry in entries:
             values = {value for _, value in entry.incident.details}
             if entry.incident.subject == subject or subject in values:
                 yield entry
--- a/packages/fescuequay-entry/fescuequay_entry/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/pool.py
@@ -28,6 +28,7 @@
         self._idle_s = idle_s
         self._idle: collections.deque[tuple[Connection, float]] = collections.deque()
         self._open = 0
+        self._filling: asyncio.Task[None] | None = None
         self._cancelling: set[asyncio.Task[None]] = set()
         self._urgent_waiters: collections.deque[asyncio.Future[None]] = collections.deque()
         self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
@@ -48,6 +49,7 @@
         while True:
             connection = self._take_idle(is_read_only)
             if connection is not None:
+                self._open_ahead()
                 return connection
             if self.size == 0:
                 raise ConnectError(f'this instance may hold no connection to {self.endpoint.address}')
@@ -111,6 +113,21 @@
             self._close(connection)
         return None
 
+    def _open_ahead(self) -> None:
+        """Have the next connection ready before somebody waits for it."""
+        if self._idle or self._filling is not None or self._open >= self.size:
+            return
+        self._filling = asyncio.get_running_loop().create_task(self._fill())
+
+    async def _fill(self) -> None:
+        try:
+            self.release(await self._connect())
+        except ConnectError:
+            # Whoever needs the connection next meets the error itself.
+            return
+        finally:
+            self._filling = None
+
     def _pop_idle(self, is_read_only: bool | None) -> tuple[Connection, float]:
         """The last one used comes first, so that the others grow old and are closed."""
         for entry in reversed(self._idle):
--- a/packages/fescuequay-standins/fescuequay_standins/group.py
+++ b/packages/fescuequay-standins/fescuequay_standins/group.py
@@ -143,6 +143,9 @@
         self.most_connections = max(self.most_connections, len(self._sessions))
         try:
             await session.run()
+        except asyncio.CancelledError:
+            # The loop ends with the trial; nobody waits for this connection.
+            return
         finally:
             self._sessions.discard(session)
 
