Fit heartbeats, probes and the instance list to the target size

Cause: working out the target size showed 15 KB/s a node for the instance list alone, 9 KB/s for heartbeats and 10 KB/s for probes, against 3 KB/s.

Change: the list is read with its version; heartbeats leave out defaults, what nobody reads, and all but eight peers' evidence, and a large fleet sends one every 1.2 s (news still goes to three at once); hosts that neither watch a group closely (three do) nor have requests for it probe it every 2 s. Ranks count among the hosts that answer, so dead or unconcerned instances delay no promotion.

Checked: all scenarios in virtual time pass; 200 orders of up to 40 faults with either acknowledgement (hypothesis, derandomized) are clean.

--- a/features/guards.py
+++ b/features/guards.py
@@ -207,7 +207,7 @@
         plain['organisations']['acme']['rate_per_s'] = 500 + number
         cluster.apply(plain)
         cluster.run(2)
-    heartbeat = Heartbeat('n1', 'dc-b', 'n1', 'n1', old.version, 0.0, record=old)  # type: ignore[arg-type]
+    heartbeat = Heartbeat('n1', 'dc-b', 'n1', old.version, 0.0, record=old)  # type: ignore[arg-type]
     node = cluster.nodes['n3']
     before = node.core.board.record.version
     node.post(events.PeerHeard(heartbeat, node.now()))
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -29,7 +29,7 @@
     Applied(1, 'd' * 64, 'me', 1.5),  # type: ignore[arg-type]
     {'g1': Leader(2, 'g1-2', starts=(TermStart(2, 7),))},  # type: ignore[arg-type, dict-item]
 )
-_HEARTBEAT = Heartbeat('i1', 'dc-a', 'a:1', 'a:2', 3, 0.5, record=_RECORD)  # type: ignore[arg-type]
+_HEARTBEAT = Heartbeat('i1', 'dc-a', 'a:1', 3, 0.5, record=_RECORD)  # type: ignore[arg-type]
 _LOANS = LoanAnswer('ask', 'i1', (Loan('i1:1', 'acme', 1.0, 2.0, 2.0),), ('x',))  # type: ignore[arg-type]
 _TOKEN = tokens.encode(Session('acme', {'g1': Mark(1, 9)}), builders.SECRET)  # type: ignore[arg-type, dict-item]
 _STATEMENT = b'{"sql": "select $1", "params": [1.50, null, {"a": []}], "read": true, "accept_age_ms": 5}'
--- a/features/steps/fleetwide_steps.py
+++ b/features/steps/fleetwide_steps.py
@@ -52,7 +52,7 @@
 
 def _old_record(cluster: Cluster) -> None:
     old = cluster.nodes['n1'].core.board.record
-    heartbeat = Heartbeat('n1', 'dc-b', 'n1', 'n1', old.version, 0.0, record=old)  # type: ignore[arg-type]
+    heartbeat = Heartbeat('n1', 'dc-b', 'n1', old.version, 0.0, record=old)  # type: ignore[arg-type]
     for delay_s in (1.0, 2.0, 3.0):
         for node in cluster.nodes.values():
             cluster.after(delay_s, lambda node=node: node.post(events.PeerHeard(heartbeat, node.now())))
--- a/packages/fescuequay-core/fescuequay_core/admission.py
+++ b/packages/fescuequay-core/fescuequay_core/admission.py
@@ -132,6 +132,7 @@
             is_read=request.is_read,
         )
         self.board.requests_by_id[request.request_id] = pending
+        self.board.used_at_by_group[pending.group] = now
         yield from self._charge(pending, now)
 
     def _charge(self, pending: Pending, now: Instant) -> Iterator[Command]:
--- a/packages/fescuequay-core/fescuequay_core/blackboard.py
+++ b/packages/fescuequay-core/fescuequay_core/blackboard.py
@@ -150,6 +150,8 @@
         self.has_floor_share = False
         self.targets_by_id: dict[TargetId, TargetView] = {}
         self.hosted_groups: dict[GroupId, Group] = {}
+        self.used_at_by_group: dict[GroupId, Instant] = {}
+        self.host_seats_by_group: dict[GroupId, frozenset[SeatId]] = {}
         self.positions_by_group: dict[GroupId, collections.deque[tuple[Instant, Position]]] = {}
         self.peers_by_id: dict[InstanceId, PeerView] = {}
         self.members_by_id: dict[InstanceId, Member] = {}
--- a/packages/fescuequay-core/fescuequay_core/fleetwatch.py
+++ b/packages/fescuequay-core/fescuequay_core/fleetwatch.py
@@ -34,6 +34,9 @@
 _HURRY_GAP_S = 0.25
 
 
+#: Largest error of an age in a heartbeat, in seconds.
+_ROUNDING_S = 0.005
+
 #: Smallest part of the poll interval that jitter leaves.
 _LEAST_POLL_PART = 0.8
 
@@ -152,7 +155,7 @@
         if event.sent_at is None or message.confirmed_age_s is None:
             return
         if message.fleet_version <= self.board.record.version:
-            relayed_at = event.sent_at - message.confirmed_age_s
+            relayed_at = event.sent_at - message.confirmed_age_s - _ROUNDING_S
             self.board.relayed_at = max(relayed_at, self.board.relayed_at or relayed_at)
 
     def _adopt(self, record: FleetRecord, now: Instant) -> Iterator[Command]:
--- a/packages/fescuequay-core/fescuequay_core/leadership.py
+++ b/packages/fescuequay-core/fescuequay_core/leadership.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import hashlib
 from collections.abc import Iterator, Mapping
 from typing import Final
 
@@ -15,6 +14,7 @@
 from fescuequay_core.events import Event, Fenced, FleetRead, FleetWritten, Promoted, Tick
 from fescuequay_core.fleet import MAX_STARTS, ChangeLeader, Leader, TermStart
 from fescuequay_core.fleetwatch import FleetController
+from fescuequay_core.hosts import host_rank
 from fescuequay_core.requests import TargetStatus
 from fescuequay_core.types import (
     Acknowledge,
@@ -30,9 +30,6 @@
 #: Delay between the instances that may start a promotion, by rank, in seconds.
 _RANK_DELAY_S: Final = 0.25
 
-#: Ranks beyond this one wait no longer.
-_MAX_RANK: Final = 8
-
 #: Wait for the rest of the group once a majority is fenced, in seconds.
 _GRACE_S: Final = 0.08
 
@@ -187,7 +184,7 @@
         if view.failing_since is None:
             return self._deposed(view, leader, self._seen_since[group_id][1])
         silent_s = now - view.failing_since
-        if silent_s < timing.suspect_after_s + self._rank(leader.target) * _RANK_DELAY_S:
+        if silent_s < timing.suspect_after_s + host_rank(self.board, group_id, leader.target) * _RANK_DELAY_S:
             return None
         replicas = [self.board.view_of(target).status for target in self._reachable(group, leader)]
         silent_to = [status for status in replicas if status and status.upstream_age_s > timing.suspect_after_s / 2]
@@ -217,12 +214,6 @@
         silent = [beat for beat in fresh if target in beat.silent_targets]
         return len(silent) * 2 > len(fresh)
 
-    def _rank(self, target: TargetId) -> int:
-        """Place of this instance among those that may act for a target; low ranks act first."""
-        names = [self.board.instance, *self.board.peers_by_id]
-        ranked = sorted(names, key=lambda name: hashlib.blake2b(f'{target}|{name}'.encode()).digest())
-        return min(ranked.index(self.board.instance), _MAX_RANK)
-
     def _close(
         self,
         group_id: GroupId,
@@ -248,7 +239,7 @@
 
     def _consider_takeover(self, group_id: GroupId, leader: Leader, now: Instant) -> Iterator[Command]:
         since = self._seen_since[group_id][1]
-        patience_s = self.board.timing.takeover_after_s + self._rank(leader.target) * _RANK_DELAY_S
+        patience_s = self.board.timing.takeover_after_s + host_rank(self.board, group_id, leader.target) * _RANK_DELAY_S
         service = self.board.service_of(group_id)
         if service is not None and service.acknowledge is Acknowledge.PRIMARY:
             patience_s += self.board.timing.permit_s
--- a/packages/fescuequay-core/fescuequay_core/membership.py
+++ b/packages/fescuequay-core/fescuequay_core/membership.py
@@ -11,7 +11,15 @@
 from fescuequay_core.types import InstanceId, Instant, TargetId
 
 #: Peers whose evidence goes into one heartbeat; keeps its size independent of the fleet's.
-_MAX_HEARD = 16
+_MAX_HEARD = 8
+
+#: Fleets larger than this send fewer heartbeats, because news also travels with them.
+_LARGE_FLEET = 32
+
+#: Factor by which a large fleet spaces its heartbeats.
+_LARGE_FLEET_SPACING = 2.0
+
+_AGE_DIGITS = 2
 
 #: A peer that neither the list nor anybody's evidence shows is forgotten after this many timeouts.
 _FORGET_AFTER_TIMEOUTS = 4
@@ -66,13 +74,12 @@
             sender=board.instance,
             data_centre=board.identity.data_centre,
             peer_address=board.identity.peer_address,
-            caller_address=board.identity.caller_address,
             fleet_version=board.record.version,
-            confirmed_age_s=None if age_s == float('inf') else age_s,
+            confirmed_age_s=None if age_s == float('inf') else round(age_s, _AGE_DIGITS),
             is_leaving=board.is_stopping,
             seat=board.seat,
             record=board.record if with_record else None,
-            heard_ages_s={peer: now - view.heard_at for peer, view in heard[:_MAX_HEARD]},
+            heard_ages_s={peer: round(now - view.heard_at, _AGE_DIGITS) for peer, view in heard[:_MAX_HEARD]},
             silent_targets=tuple(self._silent_primaries(now)),
         )
 
@@ -94,16 +101,19 @@
         is_news = self.board.record.version > self._announced_version
         if self._heartbeat_timer.is_due(now) or is_news:
             self._announced_version = self.board.record.version
-            yield from self._send_heartbeats(now)
+            yield from self._send_heartbeats(now, is_news=is_news)
 
-    def _send_heartbeats(self, now: Instant) -> Iterator[Command]:
+    def _send_heartbeats(self, now: Instant, *, is_news: bool) -> Iterator[Command]:
         addresses = self._addresses()
+        is_large = len(addresses) > _LARGE_FLEET
+        self._heartbeat_timer.interval_s = self.board.timing.heartbeat_s * (_LARGE_FLEET_SPACING if is_large else 1)
         self._rotation = [peer for peer in self._rotation if peer in addresses]
         if len(self._rotation) < self.board.timing.heartbeat_fanout:
             fresh = [peer for peer in addresses if peer not in self._rotation]
             self._rng.shuffle(fresh)
             self._rotation.extend(fresh)
-        chosen = self._rotation[: self.board.timing.heartbeat_fanout]
+        count = self.board.timing.heartbeat_fanout if is_news or not is_large else 1
+        chosen = self._rotation[:count]
         self._rotation = self._rotation[len(chosen) :]
         for peer in chosen:
             view = self.board.peers_by_id.get(peer)
--- a/packages/fescuequay-core/fescuequay_core/messages.py
+++ b/packages/fescuequay-core/fescuequay_core/messages.py
@@ -9,13 +9,12 @@
 from fescuequay_core.types import InstanceId, ResourceId, SeatId, TargetId
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
+class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat', omit_defaults=True):
     """Periodic message: who lives, what is in force and how fresh that is.
 
     :param sender: Instance that sends it.
     :param data_centre: Its data centre.
     :param peer_address: Its peer listener.
-    :param caller_address: Its callers' listener.
     :param fleet_version: Version of the fleet record that it holds.
     :param confirmed_age_s: Age of its latest confirmation at the platform, its own or relayed.
     :param is_leaving: Whether it is stopping.
@@ -28,7 +27,6 @@
     sender: InstanceId
     data_centre: str
     peer_address: str
-    caller_address: str
     fleet_version: int
     confirmed_age_s: float | None
     is_leaving: bool = False
--- a/packages/fescuequay-core/fescuequay_core/settings.py
+++ b/packages/fescuequay-core/fescuequay_core/settings.py
@@ -17,6 +17,7 @@
     :param heartbeat_fanout: Peers that get a heartbeat each interval.
     :param peer_timeout_s: Silence after which a peer gets no forwards.
     :param probe_s: Interval of status probes of each target.
+    :param idle_probe_s: The same at a host that neither watches the group closely nor has requests for it.
     :param probe_timeout_s: Longest wait for a status.
     :param permit_s: Age of the fleet record up to which a primary may acknowledge alone.
     :param suspect_after_s: Silence of a primary after which its group looks for another.
@@ -42,6 +43,7 @@
     heartbeat_fanout: Annotated[int, msgspec.Meta(ge=1, le=32)] = 3
     peer_timeout_s: _Seconds = 3.0
     probe_s: _Seconds = 0.3
+    idle_probe_s: _Seconds = 2.0
     probe_timeout_s: _Seconds = 0.5
     permit_s: _Seconds = 2.0
     suspect_after_s: _Seconds = 1.0
--- a/packages/fescuequay-core/fescuequay_core/targets.py
+++ b/packages/fescuequay-core/fescuequay_core/targets.py
@@ -8,6 +8,7 @@
 from fescuequay_core.config import Target, Text
 from fescuequay_core.controller import Controller, Handler
 from fescuequay_core.events import Event, TargetFailed, TargetSeen, Tick
+from fescuequay_core.hosts import WATCHERS, host_rank
 from fescuequay_core.requests import TargetStatus
 from fescuequay_core.seats import connection_share, hosts_of
 from fescuequay_core.types import GroupId, Instant, Role, TargetId
@@ -58,15 +59,31 @@
             self._shares_key = key
             self._update_shares(text)
             yield from self._size_pools(text)
-        for group in board.hosted_groups.values():
-            for target_id in group.targets:
-                if now - board.view_of(target_id).probed_at >= board.timing.probe_s:
+        for group_id, group in board.hosted_groups.items():
+            due = [name for name in group.targets if now - board.view_of(name).probed_at >= board.timing.probe_s]
+            interval_s = self._interval_s(group_id, now) if due else 0.0
+            for target_id in due:
+                if now - board.view_of(target_id).probed_at >= interval_s:
                     yield from self.probe(target_id, now)
 
+    def _interval_s(self, group: GroupId, now: Instant) -> float:
+        """Hosts without requests for a group leave its close watch to a few of them."""
+        timing = self.board.timing
+        leader = self.board.leader_of(group)
+        is_used = now - self.board.used_at_by_group.get(group, float('-inf')) < timing.idle_probe_s
+        if leader is None or is_used or host_rank(self.board, group, leader.target) < WATCHERS:
+            return timing.probe_s
+        is_failing = any(self.board.view_of(name).failing_since is not None for name in self._members(group))
+        return timing.probe_s if is_failing else timing.idle_probe_s
+
+    def _members(self, group: GroupId) -> tuple[TargetId, ...]:
+        return tuple(self.board.hosted_groups[group].targets)
+
     def _update_shares(self, text: Text) -> None:
         board = self.board
         self._shares = {}
         board.hosted_groups = {}
+        board.host_seats_by_group = {}
         for group_id, group in text.groups_by_id.items():
             hosts = hosts_of(text, group_id, group)
             for target_id, target in group.targets.items():
@@ -74,6 +91,7 @@
                 self._shares[target_id] = self._usable(share)
                 if self._shares[target_id]:
                     board.hosted_groups[group_id] = group
+                    board.host_seats_by_group[group_id] = frozenset(hosts)
 
     def _usable(self, share: int) -> int:
         # The floor of a seat is one connection: a cut-off holder may keep it, so a successor does without.
--- a/packages/fescuequay-entry/fescuequay_entry/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/peers.py
@@ -19,6 +19,9 @@
 from fescuequay_core.verdicts import INTERNAL, REASONS_BY_CODE, Refusal
 from fescuequay_entry.platform import PlatformError, check_object
 
+#: Headers that a peer does not look at.
+_NEEDLESS_HEADERS: Final = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+
 MAC_HEADER: Final = 'X-Fescuequay-Mac'
 
 
@@ -135,7 +138,11 @@
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._http.post(
-                f'http://{address}{path}', data=body, headers=headers, timeout=timeout
+                f'http://{address}{path}',
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                skip_auto_headers=_NEEDLESS_HEADERS,
             ) as answer:
                 answer_body = await answer.read()
         except aiohttp.ClientConnectorError as error:
--- a/packages/fescuequay-entry/fescuequay_entry/platform.py
+++ b/packages/fescuequay-entry/fescuequay_entry/platform.py
@@ -137,6 +137,8 @@
         self._base = base.rstrip('/')
         self._headers = {'X-Data-Centre': data_centre}
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._members: tuple[Member, ...] = ()
+        self._members_etag: str | None = None
 
     async def read(self, key: str, etag: str | None) -> TableRow:
         """:returns: The row."""
@@ -186,11 +188,15 @@
 
     async def members(self) -> tuple[Member, ...]:
         """:returns: The rows of the instance list."""
-        _, _, body = await self._ask('GET', '/instances')
-        rows = _decode(body, list[_MemberRow])
-        return tuple(
-            Member(InstanceId(row.instance), row.data_centre, row.peer_address, row.is_leaving) for row in rows
-        )
+        headers = {'If-None-Match': self._members_etag} if self._members_etag else {}
+        status, answer_headers, body = await self._ask('GET', '/instances', headers=headers)
+        if status != _NOT_MODIFIED_STATUS:
+            rows = _decode(body, list[_MemberRow])
+            self._members = tuple(
+                Member(InstanceId(row.instance), row.data_centre, row.peer_address, row.is_leaving) for row in rows
+            )
+            self._members_etag = answer_headers.get('ETag')
+        return self._members
 
     async def _ask(
         self, method: str, path: str, headers: dict[str, str] | None = None, **options: Any
--- a/packages/fescuequay-standins/fescuequay_standins/platform.py
+++ b/packages/fescuequay-standins/fescuequay_standins/platform.py
@@ -179,7 +179,11 @@
         return web.Response(status=201)
 
     async def _list_instances(self, request: web.Request) -> web.Response:
-        return web.json_response([{'instance': name, **row} for name, row in sorted(self.instances_by_id.items())])
+        body = msgspec.json.encode([{'instance': name, **row} for name, row in sorted(self.instances_by_id.items())])
+        headers = {'ETag': f'"{hashlib.sha256(body).hexdigest()[:16]}"'}
+        if request.headers.get('If-None-Match') == headers['ETag']:
+            return web.Response(status=304, headers=headers)
+        return web.Response(body=body, content_type='application/json', headers=headers)
 
     async def _put_instance(self, request: web.Request) -> web.Response:
         self.instances_by_id[request.match_info['instance']] = msgspec.json.decode(
