--- a/packages/fescuequay-core/fescuequay_core/seats.py
+++ b/packages/fescuequay-core/fescuequay_core/seats.py
@@ -173,7 +173,7 @@
     def _claim(self, row: Seat, now: Instant) -> Iterator[Command]:
         timing = self.board.timing
         floor_free_in_s = max(row.floor_free_in_s - row.age_s, 0)
-        if row.holder is not None and not row.is_released:
+        if row.holder not in {None, self.board.instance} and not row.is_released:
             floor_free_in_s = max(floor_free_in_s, timing.surely_s(timing.floor_lease_s + timing.loan_s) - row.age_s)
         self._claiming = row
         yield WriteSeat(row.seat, self.board.instance, row.etag, floor_free_in_s=max(floor_free_in_s, 0))
