--- a/features/builders.py
+++ b/features/builders.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from fescuequay_core import config, keys
+from fescuequay_core import config, keys, textcheck
 from fescuequay_core.requests import Request, Statement
 from fescuequay_core.types import RequestId, RequestKind, RouteId
 
@@ -75,7 +75,7 @@
 
 def text(plain: dict[str, Any]) -> config.Text:
     """:returns: The checked text."""
-    loaded, faults = config.load(raw_text(plain))
+    loaded, faults = textcheck.load(raw_text(plain))
     assert loaded is not None, faults
     return loaded
 
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from features import builders
-from fescuequay_core import config, fleet, messages, tokens
+from fescuequay_core import fleet, messages, textcheck, tokens
 from fescuequay_core.exceptions import FescuequayError
 from fescuequay_core.fleet import Applied, FleetRecord, Leader, TermStart
 from fescuequay_core.messages import Heartbeat, Loan, LoanAnswer
@@ -37,7 +37,7 @@
 
 
 def _text(raw: bytes) -> None:
-    text, faults = config.load(raw)
+    text, faults = textcheck.load(raw)
     assert (text is None) == bool(faults)
 
 
--- a/features/steps/fleetwide_steps.py
+++ b/features/steps/fleetwide_steps.py
@@ -10,7 +10,8 @@
 from features.cluster import Cluster, Node
 from features.load import versions
 from fescuequay_core import events, keys, tokens, verdicts
-from fescuequay_core.config import Group, Target, load
+from fescuequay_core.config import Group, Target
+from fescuequay_core.textcheck import load
 from fescuequay_core.messages import Heartbeat
 from fescuequay_core.seats import connection_share, data_centre_of, hosts_of, seats_of
 from fescuequay_core.tokens import Session
--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from features import builders
-from fescuequay_core import config, jsonc
+from fescuequay_core import jsonc, textcheck
 from fescuequay_ctl.cmdline import main
 
 
@@ -87,7 +87,7 @@
     for edit in edits:
         edit(plain)
     context.raw = b'// A comment moves every line.\n' + builders.raw_text(plain)
-    text, context.faults = config.load(context.raw)
+    text, context.faults = textcheck.load(context.raw)
     assert text is None
 
 
--- a/lab/measure.py
+++ b/lab/measure.py
@@ -10,7 +10,7 @@
 import click
 import msgspec
 
-from fescuequay_core import config, jsonc
+from fescuequay_core import jsonc, textcheck
 from features.judge import Limit
 from lab import figures, report
 from lab.harness import OUT, Trial, example, key_of, settle
@@ -148,7 +148,7 @@
         asyncio.get_running_loop().call_later(_LIST_LAG_S, lambda: listed.pop(name, None))
 
     def _home_of(self, target: str) -> str:
-        text, _ = config.load(self.trial.fleet.text())
+        text, _ = textcheck.load(self.trial.fleet.text())
         assert text is not None  # noqa: S101
         return {str(name): row.data_centre for name, row in text.targets_by_id.items()}[target]
 
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from fescuequay_core import config, events, keys
+from fescuequay_core import events, keys, textcheck
 from fescuequay_core.control import Core
 from fescuequay_core.fleet import Applied, FleetRecord, Leader, TermStart
 from fescuequay_core.fleetwatch import encode_record
@@ -72,9 +72,9 @@
 def _large_core(groups: int, organisations: int, seats: int) -> tuple[Core, dict[str, float]]:
     """:returns: A core with a large text in force, and what that took."""
     raw = msgspec.json.encode(plain_text(groups, organisations, seats))
-    config.load_applied(raw)
+    textcheck.load_applied(raw)
     began_at = time.perf_counter()
-    text, faults = config.load_applied(raw)
+    text, faults = textcheck.load_applied(raw)
     load_s = time.perf_counter() - began_at
     assert text is not None, faults  # noqa: S101
     gc.collect()
--- a/packages/fescuequay-core/fescuequay_core/fleetwatch.py
+++ b/packages/fescuequay-core/fescuequay_core/fleetwatch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from fescuequay_core import config
+from fescuequay_core import config, textcheck
 from fescuequay_core.blackboard import Blackboard
 from fescuequay_core.commands import Command, Incident, ReadFleet, ReadObject, WriteFleet
 from fescuequay_core.controller import Controller, Handler, Timer
@@ -189,7 +189,7 @@
             return
         if applied.number <= self.board.text_number:
             return
-        text, faults = config.load_applied(event.raw)
+        text, faults = textcheck.load_applied(event.raw)
         if text is None:
             yield Incident('text_rejected', str(applied.number), f'{len(faults)} faults, first: {faults[0].message}')
             return
--- a/packages/fescuequay-ctl/fescuequay_ctl/cmdline.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/cmdline.py
@@ -11,7 +11,7 @@
 import click
 import msgspec
 
-from fescuequay_core import config
+from fescuequay_core import textcheck
 from fescuequay_core.exceptions import FescuequayError
 from fescuequay_ctl import operations
 from fescuequay_ctl.operations import InstanceReport, InvalidTextError, LostRaceError, Operations, WaitError
@@ -55,7 +55,7 @@
 @_json
 def validate(file: pathlib.Path, *, as_json: bool) -> None:
     """Check FILE without applying it; print every fault as FILE:LINE: path: sentence."""
-    text, faults = config.load(_read(file))
+    text, faults = textcheck.load(_read(file))
     if as_json:
         click.echo(msgspec.json.encode(faults))
     else:
@@ -193,7 +193,7 @@
         sys.exit(EXIT_INVALID)
 
 
-def _print_faults(file: pathlib.Path, faults: tuple[config.Fault, ...]) -> None:
+def _print_faults(file: pathlib.Path, faults: tuple[textcheck.Fault, ...]) -> None:
     for fault in faults:
         click.echo(f'{file}:{fault.line}: {fault.path or "(text)"}: {fault.message}')
 
--- a/packages/fescuequay-ctl/fescuequay_ctl/operations.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/operations.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from fescuequay_core import config, jsonc, keys
+from fescuequay_core import config, jsonc, keys, textcheck
 from fescuequay_core.events import Member, WriteResult
 from fescuequay_core.exceptions import FescuequayError, TextError
 from fescuequay_core.fleet import Applied, ApplyText, FleetRecord, decode_record, with_write_id
@@ -29,7 +29,7 @@
     :param faults: Every one of them.
     """
 
-    def __init__(self, faults: tuple[config.Fault, ...]) -> None:
+    def __init__(self, faults: tuple[textcheck.Fault, ...]) -> None:
         super().__init__(f'the text has {len(faults)} faults')
         self.faults = faults
 
@@ -183,7 +183,7 @@
     :param raw: Its bytes.
     :raises InvalidTextError: when it has faults.
     """
-    text, faults = config.load(raw)
+    text, faults = textcheck.load(raw)
     if text is None:
         raise InvalidTextError(faults)
     return text
@@ -209,7 +209,7 @@
     try:
         return jsonc.decode_text(raw or b'{}')[0]
     except TextError as error:
-        raise InvalidTextError((config.Fault(error.line, '', str(error)),)) from None
+        raise InvalidTextError((textcheck.Fault(error.line, '', str(error)),)) from None
 
 
 def _compare(old: object, new: object, path: str) -> Iterator[str]:
--- a/packages/fescuequay-standins/fescuequay_standins/fleet.py
+++ b/packages/fescuequay-standins/fescuequay_standins/fleet.py
@@ -12,7 +12,7 @@
 import aiohttp
 from aiohttp import web
 
-from fescuequay_core import config, jsonc
+from fescuequay_core import jsonc, textcheck
 from fescuequay_standins.balancer import Backend, Balancer
 from fescuequay_standins.group import Group, MemberFaults, control_application
 from fescuequay_standins.platform import Faults, Platform
@@ -214,7 +214,7 @@
     :raises SystemExit: when it has faults.
     """
     raw = path.read_bytes()
-    text, faults = config.load(raw)
+    text, faults = textcheck.load(raw)
     if text is None:
         raise SystemExit('\n'.join(f'{path}:{fault.line}: {fault.path}: {fault.message}' for fault in faults))
     return raw
