Make the scenario on left-over connection state fail without its guard

Cause: with `PostgresConnection.is_clean` always true the scenario still passed. Found why: its last statements ended the open transaction again; a second BEGIN makes the stand-in drop the connection; and the rows were counted on the very connection that held them uncommitted.

Change: the last statement sent leaves a transaction open, and the rows are counted through another instance.

Checked: without the guard the scenario fails; with it, it passed three times.

--- a/features/steps/real_steps.py
+++ b/features/steps/real_steps.py
@@ -17,17 +17,17 @@
 _INSTANCES = ('i1', 'i2', 'i3')
 
 
-def _count(context: Any, condition: str = '1 = 1') -> int:
+def _count(context: Any, condition: str = '1 = 1', instance: str = 'i1') -> int:
     """Count rows at the primary, whatever any session has seen."""
     body = {'read': True, 'accept_age_ms': 0}
-    reply = context.world.sql('i1', f'select count(*) as n from prices where {condition}', extra=body)
+    reply = context.world.sql(instance, f'select count(*) as n from prices where {condition}', extra=body)
     assert reply.status == 200, reply.plain
     return int(reply.plain['result']['rows'][0][0])
 
 
 @when('statements that begin transactions or change settings are sent through i1')
 def step_dirty(context: Any) -> None:
-    for sql in ('begin', 'set search_path = nowhere', 'begin read only', 'rollback', 'commit'):
+    for sql in ('begin read only', 'rollback', 'commit', 'set search_path = nowhere', 'begin'):
         context.world.sql('i1', sql)
         context.world.sql('i1', sql, extra={'read': True})
 
@@ -37,7 +37,8 @@
     for number in range(20):
         reply = context.world.sql('i1', 'insert into prices values ($1, $2)', f'dish-{number}', '1.00')
         assert reply.status == 200, reply.plain
-    assert _count(context) == 20
+    # Another instance sees only what was committed; the same connection would see its own open transaction.
+    assert _count(context, instance='i2') == 20
 
 
 @then('60 concurrent reads each get their own answer')
