--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 JOBS ?= 4
-PACKAGES := packages/fescuequay-core packages/fescuequay-entry packages/fescuequay-ctl packages/fescuequay-standins platform
+PACKAGES := packages/fescuequay-core packages/fescuequay-entry packages/fescuequay-ctl packages/fescuequay-standins \
+	packages/fescuequay-emulator platform
 SOURCES := packages platform deploy features spec lab
 
 .PHONY: help setup run test lint format prove prove-mutants measure capacity clean
--- /dev/null
+++ b/features/decisions.feature
@@ -0,0 +1,58 @@
+Feature: Decisions of the relay, one by one
+  Scenario: A write whose answer comes after the permit was given back is not acknowledged
+    Given an instance in virtual time with one primary
+    When a write is answered after the record was closed
+    Then the caller is told that the outcome is unknown
+
+  Scenario: A refused connection is no proof that an instance ended
+    Given an instance in virtual time with one primary
+    When permits are collected from a member whose connections are refused
+    Then the promoter waits until its permit has surely ended
+
+  Scenario Outline: A primary <seen>
+    When the coordinator sees <own> and the others see <others>
+    Then the primary is judged <finding>
+
+    Examples:
+      | seen | own | others | finding |
+      | answers all | answered | answered answered | alive |
+      | is silent for the coordinator alone | silent | answered answered | alive |
+      | is silent for all | silent | silent idle | dead |
+      | refuses all | refused | idle idle | dead |
+      | was silent for a moment | brief | idle idle | alive |
+      | is cut from half | answered | silent silent answered | cut |
+      | is missed by instances that reach nothing | answered | isolated isolated answered | alive |
+      | is missed by one of nine | answered | silent answered answered answered answered answered answered answered | alive |
+
+  Scenario Outline: The duty, <when>
+    When the duty's row was <row> and last changed <age> s ago
+    Then another instance <may> take it
+
+    Examples:
+      | when | row | age | may |
+      | absent | absent | 0 | may |
+      | given up | free | 0 | may |
+      | just renewed | held | 0.5 | may not |
+      | at the end of the holder's own time | held | 1.7 | may not |
+      | long unrenewed | held | 2.3 | may |
+      | held by an earlier self | own | 0 | may |
+
+  Scenario: One organisation at seven times its rate over nine instances
+    When 9 instances ask the token pool at 7 times a rate of 40 with a burst of 40 for 12 s
+    Then no 5 s see more than 240 operations, and 12 s see at least 450
+
+  Scenario: An instance out of touch lives on its even part, and the pool leaves that part out
+    When one of 4 instances stops exchanging, all wanting twice a rate of 40 with a burst of 40
+    Then no 5 s see more than 240 operations, and 12 s see at least 450
+
+  Scenario Outline: A read is placed, <case>
+    When replicas are <near> and <far> and the primary is idle
+    Then the read goes to the <choice>
+
+    Examples:
+      | case | near | far | choice |
+      | nearest first | idle | idle | near one |
+      | around a full target | full | idle | far one |
+      | around a target that lags | behind | idle | far one |
+      | to the primary when replicas are full | full | full | primary |
+      | around a failing target | failing | idle | far one |
--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,82 @@
+Feature: Relayed sessions keep every promise while things fail
+  Real instances in virtual time, before model targets, a model table and a model network. A judge checks
+  what callers, targets and the operator saw: nothing unasked, mixed, stale, doubled or kept against a promise,
+  no commit acknowledged by a replaced primary, no rate exceeded, no withdrawn key served.
+
+  Scenario Outline: One trouble, <trouble>
+    Given the relay scenario of seed <seed>
+      | at | kind | for_s | on | how | share |
+      | 3  | <kind> | <for_s> | <on> | <how> | <share> |
+    When it is played
+    Then no promise was broken
+    And at least <served>% of the operations were served
+    And no more than <gap> s went by without a served write
+
+    Examples:
+      | trouble | seed | kind | for_s | on | how | share | served | gap |
+      | an instance is killed | 1 | kill | 2 | 1 | - | 0 | 93 | 4 |
+      | the coordinator is killed | 2 | kill | 2 | coordinator | - | 0 | 92 | 4 |
+      | all instances are killed | 3 | kill_all | 1.5 | 0 | - | 0 | 88 | 5 |
+      | an instance is stopped by plan | 4 | stop | 1 | 0 | - | 0 | 97 | 3 |
+      | the coordinator is stopped by plan | 5 | stop | 1 | coordinator | - | 0 | 95 | 3 |
+      | a primary crashes | 6 | crash_primary | 6 | 0 | - | 0 | 97 | 3 |
+      | a primary goes dark | 7 | crash_primary | 6 | 0 | dark | 0 | 96 | 3 |
+      | a primary leaves by plan | 8 | drain_primary | 1 | 0 | - | 0 | 98 | 2 |
+      | a data centre is cut off silently | 9 | cut_zone | 6 | 0 | - | 0 | 80 | 6 |
+      | a data centre's connections are refused | 10 | cut_zone | 6 | 0 | reset | 0 | 80 | 6 |
+      | a primary is cut from many instances | 11 | cut_primary | 6 | 0 | - | 0.6 | 93 | 4 |
+      | a primary is cut from its replicas too | 12 | cut_primary | 6 | 0 | replicas | 0.6 | 93 | 4 |
+      | the coordinator is cut from the table | 13 | cut_instance | 6 | coordinator | - | 0 | 92 | 4 |
+      | the coordinator is cut from all | 14 | cut_instance | 6 | coordinator | all | 0 | 90 | 4 |
+      | the table is silent | 15 | store | 5 | 0 | silent | 0 | 88 | 5 |
+      | the table rejects half of the instances | 16 | store | 8 | 0 | some | 0.5 | 98 | 3 |
+      | the table is eighty times as slow | 17 | store | 6 | 0 | slow | 80 | 93 | 4 |
+      | the table loses answers and acts late | 18 | store | 6 | 0 | late | 0.4 | 90 | 4 |
+      | the table forgets its history | 19 | compact | 1 | 0 | - | 0 | 99 | 2 |
+      | replicas fall behind | 20 | lag | 5 | 0 | - | 1.2 | 98 | 2 |
+      | replicas receive nothing | 21 | lag | 5 | 0 | deaf | 0.02 | 98 | 2 |
+      | targets lose answers | 22 | lose_answers | 5 | 0 | - | 0.2 | 93 | 3 |
+      | a key is withdrawn | 23 | withdraw | 1 | 0 | - | 0 | 70 | 3 |
+
+  Scenario Outline: Two troubles at the worst moment, <trouble>
+    Given the relay scenario of seed <seed>
+      | at | kind | for_s | on | how | share |
+      | 3  | <first> | 6 | 0 | <how> | <share> |
+      | <at> | <second> | 3 | <on> | <how2> | 0.5 |
+    When it is played
+    Then no promise was broken
+
+    Examples:
+      | trouble | seed | first | how | share | at | second | on | how2 |
+      | a promotion while the table loses answers | 31 | crash_primary | - | 0 | 2.5 | store | 0 | late |
+      | a promotion whose coordinator is killed | 32 | crash_primary | dark | 0 | 4.2 | kill | coordinator | - |
+      | a promotion while an instance is cut off | 33 | crash_primary | - | 0 | 2.8 | cut_instance | 1 | all |
+      | a deaf replica and a crash of its primary | 34 | lag | deaf | 0.02 | 5 | crash_primary | 0 | - |
+      | a key withdrawn from a cut-off data centre | 35 | cut_zone | - | 0 | 3.5 | withdraw | 0 | - |
+      | a planned change in a cut-off data centre | 36 | cut_zone | reset | 0 | 3.2 | drain_primary | 0 | - |
+      | all killed during a planned change | 37 | drain_primary | - | 0 | 3.1 | kill_all | 0 | - |
+      | the same trouble twice | 38 | crash_primary | - | 0 | 4.5 | crash_primary | 0 | - |
+
+  Scenario: The same seed gives the same run
+    Given the relay scenario of seed 41
+      | at | kind | for_s | on | how | share |
+      | 3  | crash_primary | 6 | 0 | dark | 0 |
+    When it is played twice
+    Then both runs are the same
+
+  Scenario Outline: The judge notices that <guard> is missing
+    Given the relay scenario of seed <seed>
+      | at | kind | for_s | on | how | share |
+      | 3  | <kind> | 6 | 0 | <how> | <share> |
+    When it is played on seeds <seed> to <last> without <guard>
+    Then a promise was broken: <promise>
+
+    Examples:
+      | guard | seed | last | kind | how | share | promise |
+      | the wait for permits | 50 | 55 | cut_zone | reset | 0 | one, stale |
+      | the owed position | 50 | 53 | lag | - | 3 | stale |
+      | the session's own position | 50 | 53 | lag | - | 1.5 | stale |
+      | the reset of session values | 50 | 53 | compact | - | 0 | pinned |
+      | the check of the key | 50 | 51 | withdraw | - | 0 | config |
+      | the limit of the token bucket | 50 | 53 | flood | - | 0 | quota |
+      | the promise about sent writes | 50 | 55 | lose_answers | - | 0.3 | refused, twice |
--- /dev/null
+++ b/features/relay_guards.py
@@ -0,0 +1,89 @@
+"""Removes one guard of the relay at a time, so that the judge can be seen to notice."""
+
+import contextlib
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
+
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.buckets import Buckets, Take
+from fescuequay_core.relay.freshness import Samples
+from fescuequay_core.relay.refusals import Refused
+from fescuequay_entry.relay.pool import Lease
+from fescuequay_entry.relay.replacement import Replacement
+from fescuequay_entry.relay.routes import Runner
+from fescuequay_entry.relay.session import Session
+
+
+async def _collect_nothing(*_: Any, is_planned: bool) -> None:
+    """Wait for no permit."""
+
+
+def _required_without_age(self: Samples, route: Any, position: Any, began_at: float) -> Any:
+    newest = self.newest(route.service)
+    if newest is None or route.staleness_s <= 0:
+        return None
+    return dataclasses.replace(newest[1].position, number=0), newest[1].at
+
+
+def _required_without_session(original: Callable[..., Any]) -> Callable[..., Any]:
+    return lambda self, route, _position, began_at: original(self, route, None, began_at)
+
+
+async def _take_on_without_reset(self: Lease, values: dict[str, str]) -> None:
+    for name, content in values.items():
+        if self.values.get(name) != content:
+            await self._expect(self.connection.set_value(name, content))
+            self.values[name] = content
+
+
+def _admit_by_first_configuration(original: Callable[..., Any]) -> Callable[..., Any]:
+    firsts: dict[Any, Any] = {}
+
+    def admit(self: Session) -> Any:
+        board = self._board
+        present = board.configuration
+        board.configuration = firsts.setdefault(board, present)
+        try:
+            return original(self)
+        finally:
+            board.configuration = present
+
+    return admit
+
+
+async def _promise_for_sent(original: Callable[..., Any], *arguments: Any) -> Any:
+    try:
+        return await original(*arguments)
+    except Refused as refusal:
+        if refusal.reason in {refusals.TIMED_OUT, refusals.LOST}:
+            raise Refused(refusals.TARGET_BUSY) from refusal
+        raise
+
+
+def _patches(guard: str) -> Any:
+    originals = {'required': Samples.required, 'admit': Session._admit, 'write': Runner._write_once}
+    patch = mock.patch.object
+    write_once = originals['write']
+    return {
+        'the wait for permits': lambda: patch(Replacement, '_collect', _collect_nothing),
+        'the permit at the answer': lambda: patch(Runner, 'is_current', lambda *_: True),
+        'the owed position': lambda: patch(Samples, 'required', _required_without_age),
+        "the session's own position": lambda: patch(
+            Samples, 'required', _required_without_session(originals['required'])
+        ),
+        'the reset of session values': lambda: patch(Lease, 'take_on', _take_on_without_reset),
+        'the check of the key': lambda: patch(Session, '_admit', _admit_by_first_configuration(originals['admit'])),
+        'the limit of the token bucket': lambda: patch(Buckets, 'take', lambda *_, is_retry=False: (Take.TAKEN, 0.0)),
+        'the promise about sent writes': lambda: patch(
+            Runner, '_write_once', lambda *arguments: _promise_for_sent(write_once, *arguments)
+        ),
+    }[guard]()
+
+
+@contextlib.contextmanager
+def removed(guard: str) -> Iterator[None]:
+    """Run without a guard."""
+    with _patches(guard):
+        yield
--- /dev/null
+++ b/features/relay_processes.py
@@ -0,0 +1,270 @@
+"""A real process with the platform's adapters, before stand-ins that speak the platform's protocol on loopback."""
+
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+from urllib.request import urlopen
+
+from aiohttp import web
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+_HOST = '127.0.0.1'
+_WAIT_S = 15.0
+
+_CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'db',
+            'route_type': 'primary',
+            'service': 'svc',
+            'timeout_ms': 1000,
+            'target_latency_ms': 400,
+        }
+    ],
+    'services': [{'name': 'svc', 'max_conns': 20, 'sync_replicas': 0}],
+    'tenants': [{'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 50, 'burst': 50}],
+    'limits': {'tx_idle_ms': 3000},
+}
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class PlatformStandIn:
+    """The metadata store, as far as one instance needs it, and one database, on loopback."""
+
+    def __init__(self) -> None:
+        self.store_port = _free_port()
+        self.database_port = _free_port()
+        self._rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self._version = 0
+        self._items: dict[str, str] = {}
+        self._commits = 0
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        entry = {
+            'service': 'svc',
+            'address': f'{_HOST}:{self.database_port}',
+            'zone': 'z',
+            'state': 'ready',
+            'db_role': 'primary',
+            'born': 1,
+            'seq': 1,
+            'slots': 4,
+        }
+        self._put('op', 'config', json.dumps(_CONFIG).encode())
+        self._put('servers', 'i-1', json.dumps(entry).encode())
+
+    def start(self) -> None:
+        """Listen."""
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result(_WAIT_S)
+
+    def close(self) -> None:
+        """End the loop."""
+        asyncio.run_coroutine_threadsafe(self._end(), self._loop).result(_WAIT_S)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_WAIT_S)
+        self._loop.close()
+
+    async def _listen(self) -> None:
+        application = web.Application()
+        application.router.add_get('/rows-get', self._get)
+        application.router.add_get('/rows-feed', self._feed)
+        application.router.add_post('/rows-tx', self._transact)
+        self._runner = web.AppRunner(application)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, _HOST, self.store_port).start()
+        self._server = await asyncio.start_server(self._serve, _HOST, self.database_port)
+
+    async def _end(self) -> None:
+        self._server.close()
+        await self._runner.cleanup()
+        others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    def _put(self, table: str, key: str, raw: bytes) -> None:
+        self._rows[table, key] = (base64.b64encode(raw).decode(), self._version)
+
+    def _answer(self, rows: list[dict[str, Any]], status: int = 200) -> web.Response:
+        return web.json_response({'rows': rows, 'ver': self._version, 'now_ms': 1, 'more_pages': False}, status=status)
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        value, version = self._rows[table, key]
+        return {'table': table, 'part': '', 'key': key, 'value': value, 'ver': version}
+
+    async def _get(self, request: web.Request) -> web.Response:
+        table = request.query['table']
+        return self._answer([self._row(*name) for name in sorted(self._rows) if name[0] == table])
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(int(request.query['wait_ms']) / 1000)
+        return self._answer([])
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body['precondition']:
+            name = (row['table'], row['key'])
+            if self._rows.get(name, ('', 0))[1] != row['ver']:
+                return self._answer([self._row(*name)] if name in self._rows else [], 412)
+        self._version += 1
+        for row in body['puts']:
+            self._rows[row['table'], row['key']] = (row['value'], self._version)
+        for row in body['deletes']:
+            self._rows.pop((row['table'], row['key']), None)
+        return self._answer([])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One database connection."""
+        try:
+            while line := await reader.readline():
+                for answer in self._said(line.decode().rstrip('\r\n')):
+                    writer.write(answer.encode() + b'\r\n')
+                await writer.drain()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+    def _said(self, line: str) -> list[str]:
+        word, _, rest = line.partition(' ')
+        ready = f'READY I 1.{self._commits}'
+        if word == 'START':
+            assert 'secret' not in rest, 'a key was passed on'
+            return [ready]
+        request, _, text = rest.partition(' ')
+        words = text.split(' ')
+        if words[0] == 'STATUS':
+            return [f'ROW primary 1 1.{self._commits} 0 0 0 1', 'DONE -', ready]
+        if words[0] == 'WRITE':
+            self._commits += 1
+            self._items[words[1]] = ' '.join(words[2:])
+            return [f'DONE i-1.{request}', f'READY I 1.{self._commits}']
+        if words[0] == 'READ':
+            return [f'ROW {self._items.get(words[1], "")}', f'DONE i-1.{request}', ready]
+        return ['DONE -', ready]
+
+
+class Deployment:
+    """One real instance and its stand-ins."""
+
+    def __init__(self) -> None:
+        self._standin = PlatformStandIn()
+        self._folder = tempfile.TemporaryDirectory()
+        self._ports = {name: _free_port() for name in ('callers', 'readiness', 'peers')}
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start everything and wait until the instance is ready."""
+        self._standin.start()
+        path = pathlib.Path(self._folder.name) / 'settings.jsonc'
+        plain = {
+            'instance': 'front-1',
+            'data_centre': 'z',
+            'host': _HOST,
+            'callers': f'{_HOST}:{self._ports["callers"]}',
+            'readiness': f'{_HOST}:{self._ports["readiness"]}',
+            'peer_ports': [self._ports['peers'], self._ports['peers']],
+            'store': f'{_HOST}:{self._standin.store_port}',
+            'promoter': f'{_HOST}:1',
+            'stop_s': 4.0,
+        }
+        path.write_text('// Settings of a test.\n' + json.dumps(plain))
+        environment = {**os.environ, 'FESCUEQUAY_CONFIG': str(path)}
+        command = [sys.executable, str(_ROOT / 'deploy/fescuequayd.py')]
+        subprocess.run([*command, '--check'], env=environment, check=True, stdout=subprocess.DEVNULL)
+        self._process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)
+        self._await_ready()
+
+    def talk(self) -> dict[str, list[str]]:
+        """:returns: What callers are told."""
+        told: dict[str, list[str]] = {}
+        good = self._open('START db secret')
+        self._await_led(good)
+        told['write'] = self._ask(good, 'QUERY a1 WRITE x v1', 2)
+        told['read'] = self._ask(good, 'QUERY a2 READ x', 3)
+        other = self._open('START db secret')
+        told['malformed'] = self._ask(other, 'QUERY a3 JUMP x', 2)
+        told['unknown statement'] = self._ask(other, 'QUERY a4 EXECUTE s1 x', 2)
+        told['no cr'] = self._ask(other, 'QUERY a5 READ x', 2, end=b'\n')
+        told['unknown database'] = self._ask(None, 'START nothing secret', 1)
+        told['unknown key'] = self._ask(None, 'START db other', 1)
+        told['after'] = self._ask(good, 'QUERY a6 READ x', 3)
+        good.close()
+        other.close()
+        return told
+
+    def stop(self) -> int:
+        """:returns: Exit code after SIGTERM."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGTERM)
+        return self._process.wait(timeout=6)
+
+    def close(self) -> None:
+        """End everything."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+        self._standin.close()
+        self._folder.cleanup()
+
+    def _await_ready(self) -> None:
+        deadline = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline:
+            try:
+                with urlopen(f'http://{_HOST}:{self._ports["readiness"]}/readiness', timeout=1):
+                    return
+            except OSError:
+                time.sleep(0.05)
+        raise AssertionError('the instance did not become ready')
+
+    def _await_led(self, caller: socket.socket) -> None:
+        """Wait until the first leader record was written; refusals until then promise that nothing ran."""
+        deadline = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline:
+            if not self._ask(caller, 'QUERY a0 READ none', 1)[0].startswith('ERROR'):
+                self._lines(caller, 2)
+                return
+            self._lines(caller, 1)
+            time.sleep(0.1)
+        raise AssertionError('no primary was found')
+
+    def _open(self, opening: str) -> socket.socket:
+        caller = socket.create_connection((_HOST, self._ports['callers']), timeout=5)
+        assert self._ask(caller, opening, 1) == ['READY I -']
+        return caller
+
+    def _ask(self, caller: socket.socket | None, line: str, count: int, end: bytes = b'\r\n') -> list[str]:
+        if caller is not None:
+            caller.sendall(line.encode() + end)
+            return self._lines(caller, count)
+        with socket.create_connection((_HOST, self._ports['callers']), timeout=5) as once:
+            once.sendall(line.encode() + end)
+            lines = self._lines(once, count)
+            assert once.recv(1) == b'', 'the refused session was not closed'
+            return lines
+
+    def _lines(self, caller: socket.socket, count: int) -> list[str]:
+        raw = b''
+        while raw.count(b'\r\n') < count:
+            chunk = caller.recv(1)
+            assert chunk, raw
+            raw += chunk
+        return raw.decode().split('\r\n')[:count]
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,185 @@
+"""Steps about single decisions of the relay."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from behave import given, then, when
+
+from fescuequay_core.relay import placement, refusals
+from fescuequay_core.relay.buckets import Buckets, Take
+from fescuequay_core.relay.duty import Duty
+from fescuequay_core.relay.evidence import TargetEvidence
+from fescuequay_core.relay.model import Credential, DatabaseName, DutyRecord, OrganisationPolicy, TargetDescription
+from fescuequay_core.relay.permits import PERMIT_S
+from fescuequay_core.relay.suspicion import Observation, judge
+from fescuequay_core.relay.tokenpool import TokenPool
+from fescuequay_core.types import InstanceId, LeaderState, OrganisationId, Role, ServiceId, TargetId
+from fescuequay_emulator.callers import Session
+from fescuequay_emulator.load import write
+from fescuequay_emulator.world import Plan, World
+
+_OBSERVATIONS = {
+    'answered': Observation(None, is_refusing=False, has_answered=True, reaches_others=True),
+    'idle': Observation(None, is_refusing=False, has_answered=False, reaches_others=False),
+    'silent': Observation(1.2, is_refusing=False, has_answered=False, reaches_others=True),
+    'brief': Observation(0.3, is_refusing=False, has_answered=False, reaches_others=True),
+    'refused': Observation(0.3, is_refusing=True, has_answered=False, reaches_others=True),
+    'isolated': Observation(1.2, is_refusing=False, has_answered=False, reaches_others=False),
+}
+
+
+@given('an instance in virtual time with one primary')
+def step_world(context: Any) -> None:
+    context.relay = World(Plan(instances=2, services=1, work_s=0.2), 7)
+
+
+@when('a write is answered after the record was closed')
+def step_closed(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        session = Session(1, Credential('key-o0'), DatabaseName('primary-0'), world.judge.sent, world.chance)
+        assert await session.open(world.listeners['n1']) is True
+        saying = asyncio.ensure_future(session.say(write(1, 'v')))
+        await asyncio.sleep(0.03)
+        board = world.instances['n1'].board
+        record = board.permits.record(ServiceId('s0'))
+        assert record is not None
+        closed = dataclasses.replace(record, state=LeaderState.CLOSING, version=record.version + 1000)
+        board.learn_record(closed, board.clock(), 'test')
+        context.sent = await saying
+
+    world.run(story)
+
+
+@then('the caller is told that the outcome is unknown')
+def step_unknown(context: Any) -> None:
+    assert context.sent.refusal is not None and context.sent.refusal.reason is refusals.SUPERSEDED, context.sent
+
+
+@when('permits are collected from a member whose connections are refused')
+def step_collect(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        holder = next(name for name in world.instances if world.instances[name].board.duty.is_own())
+        other = next(name for name in world.instances if name != holder)
+        world.kill(other)
+        primary = world.primary_of('s0')
+        context.began_at = world.loop.time()
+        primary.crash()
+        await asyncio.sleep(8)
+        context.changes = list(world.judge.changes)
+
+    world.run(story)
+
+
+@then('the promoter waits until its permit has surely ended')
+def step_waited(context: Any) -> None:
+    (change,) = context.changes
+    assert change.at - context.began_at >= PERMIT_S, change.at - context.began_at
+
+
+@when('the coordinator sees {own} and the others see {others}')
+def step_observe(context: Any, own: str, others: str) -> None:
+    context.finding = judge(_OBSERVATIONS[own], [_OBSERVATIONS[name] for name in others.split(' ')])
+
+
+@then('the primary is judged {finding}')
+def step_finding(context: Any, finding: str) -> None:
+    assert context.finding.value == finding, context.finding
+
+
+@when("the duty's row was {row} and last changed {age:g} s ago")
+def step_duty(context: Any, row: str, age: float) -> None:
+    duty = Duty(InstanceId('me'), 'now')
+    records = {
+        'absent': None,
+        'free': DutyRecord(InstanceId(''), '', '', 4, 'n', 9),
+        'held': DutyRecord(InstanceId('other'), 'i', 'a:1', 4, 'n', 9),
+        'own': DutyRecord(InstanceId('me'), 'before', 'a:1', 4, 'n', 9),
+    }
+    duty.learn(records[row], 100.0)
+    context.may = duty.may_take(100.0 + age)
+
+
+@then('another instance {may} take it')
+def step_may(context: Any, may: str) -> None:
+    assert context.may is (may == 'may'), context.may
+
+
+def _ask(context: Any, instances: int, factor: float, rate: float, leaver: int | None) -> None:
+    """Let instances take tokens in steps of 10 ms, exchanging every 0.35 s or when an operation waits."""
+    policy = OrganisationPolicy(OrganisationId('o'), rate, rate)
+    policies = {'o': policy}
+    pool = TokenPool(0.0)
+    buckets = [Buckets() for _ in range(instances)]
+    for each in buckets:
+        each._policies_by_organisation = policies
+        each.set_members(instances)
+    context.taken = []
+    for step in range(12 * 100):
+        now = step / 100
+        for number, each in enumerate(buckets):
+            is_away = number == leaver and now > 4
+            if not is_away and (step % 35 == number or step % 3 == 0):
+                pool.note_heard(InstanceId(str(number)), now)
+                each.note_contact(now + 0.9)
+                for organisation, (tokens, dry_s) in pool.give(each.wants(now), policies, instances, now).items():
+                    each.receive(organisation, tokens, dry_s, now)
+            owed = factor * rate / instances
+            for _ in range(int(owed * (step + 1) / 100) - int(owed * step / 100)):
+                taken, wait_s = each.take(OrganisationId('o'), now, 0.05)
+                if taken is Take.TAKEN:
+                    context.taken.append(now + wait_s)
+
+
+@when('{instances:d} instances ask the token pool at {factor:d} times a rate of {rate:d} with a burst of 40 for 12 s')
+def step_hot(context: Any, instances: int, factor: int, rate: int) -> None:
+    _ask(context, instances, factor, rate, None)
+
+
+@when('one of {instances:d} instances stops exchanging, all wanting twice a rate of {rate:d} with a burst of 40')
+def step_leaver(context: Any, instances: int, rate: int) -> None:
+    _ask(context, instances, 2, rate, 1)
+
+
+@then('no 5 s see more than {most:d} operations, and 12 s see at least {least:d}')
+def step_window(context: Any, most: int, least: int) -> None:
+    times = sorted(context.taken)
+    start = 0
+    for end, at in enumerate(times):
+        while times[start] < at - 5:
+            start += 1
+        assert end - start + 1 <= most, (at, end - start + 1)
+    assert len(times) >= least, len(times)
+
+
+@when('replicas are {near} and {far} and the primary is idle')
+def step_candidates(context: Any, near: str, far: str) -> None:
+    def candidate(name: str, zone: str, state: str, *, is_primary: bool = False) -> placement.Candidate:
+        role = Role.PRIMARY if is_primary else Role.REPLICA
+        target = TargetDescription(TargetId(name), 1, ServiceId('s'), f'{name}:1', zone, is_draining=False, role=role)
+        evidence = TargetEvidence()
+        if state == 'behind':
+            evidence.note_behind(10.0)
+        if state == 'failing':
+            evidence.note_failure(10.0, 10.0, is_refusal=False)
+        is_full = state == 'full'
+        evidence.in_flight = 2 if is_full else 0
+        return placement.Candidate(target, evidence, 0 if is_full else 2, 12 if is_full else 0, is_primary)
+
+    candidates = [
+        candidate('near one', 'here', near),
+        candidate('far one', 'there', far),
+        candidate('primary', 'there', 'idle', is_primary=True),
+    ]
+    context.choice = next(placement.rank(candidates, 'here', 10.1, is_settled=True)).target.target
+
+
+@then('the read goes to the {choice}')
+def step_choice(context: Any, choice: str) -> None:
+    assert context.choice == choice, context.choice
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,190 @@
+"""Steps about the platform's adapters."""
+
+import json
+import pathlib
+import re
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features import relay_processes
+from fescuequay_platform import rows, statements
+from fescuequay_platform.codec import LineDecoder, Message, WireError
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+#: The platform's own words: calls, codes and fields that mean nothing to the product.
+_WORDS = re.compile(
+    r'rows-tx|rows-get|rows-feed|blob-(put|get)|X-Fencing-Token|X-Lease-Holder|MISDIRECT|TOOMANY|NOSTMT|NOAUTH|NODB|'
+    r'cold_remaining_ms|tx_idle_ms|max_staleness_ms|target_latency_ms|sync_replicas|db_role|route_type|api_keys'
+)
+
+_GOOD_ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:9',
+    'zone': 'z',
+    'state': 'ready',
+    'db_role': 'replica',
+    'born': 1,
+    'seq': 4,
+}
+
+
+def _split(raw: bytes, cuts: list[int]) -> list[Any]:
+    decoder = LineDecoder()
+    found: list[Any] = []
+    places = sorted({min(cut, len(raw)) for cut in cuts} | {0, len(raw)})
+    for start, end in zip(places, places[1:], strict=False):
+        found.extend(decoder.feed(raw[start:end]))
+    return [item if isinstance(item, Message) else str(item) for item in found]
+
+
+@then('hypothesis finds no split of line-protocol bytes that changes the messages')
+def step_split(context: Any) -> None:
+    line = st.one_of(
+        st.binary(max_size=40),
+        st.sampled_from([b'QUERY a READ 1', b'START x k y z', b'BYE', b'ROW  two  blanks ', b'DONE -']),
+    )
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @for_all(st.lists(line, max_size=6), st.lists(st.integers(0, 300), max_size=8))
+    def check(lines: list[bytes], cuts: list[int]) -> None:
+        raw = b''.join(part + b'\r\n' for part in lines)
+        assert _split(raw, cuts) == _split(raw, [])
+
+    check()
+
+
+@then('hypothesis finds no bytes that the line decoder answers with anything else')
+def step_hostile(context: Any) -> None:
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    @for_all(st.binary(max_size=400))
+    def check(raw: bytes) -> None:
+        for item in LineDecoder().feed(raw):
+            assert isinstance(item, Message | WireError)
+            if isinstance(item, Message):
+                assert item.encoded().endswith(b'\r\n')
+
+    check()
+
+
+@when('{count:d} bytes without a line end are fed to the decoder')
+def step_long(context: Any, count: int) -> None:
+    context.found = list(LineDecoder().feed(b'x' * count))
+
+
+@then('the decoder says that the message is too long, and that nothing after it can be read')
+def step_too_long(context: Any) -> None:
+    (error,) = context.found
+    assert isinstance(error, WireError) and error.is_fatal and '1048576' in str(error), error
+
+
+@when('the statement text "{text}" is read')
+def step_statement(context: Any, text: str) -> None:
+    try:
+        statement = statements.statement_of(text)
+    except ValueError:
+        context.read = 'unknown'
+        return
+    kind = statement.kind.value
+    article = 'an' if kind[0] in 'aeiou' else 'a'
+    context.read = f'{article} {kind} that {"writes" if statement.is_write else "does not write"}'
+    assert statement.text == text
+
+
+@then('the statement is {result}')
+def step_read(context: Any, result: str) -> None:
+    assert context.read == result, context.read
+
+
+@when('a target refuses with {code}')
+def step_code(context: Any, code: str) -> None:
+    context.refusal = statements.refusal_of(code, 'why')
+
+
+@then('the verdict is {verdict} and the caller is told {told}')
+def step_verdict(context: Any, verdict: str, told: str) -> None:
+    assert context.refusal.reason.verdict.value == verdict
+    assert statements.code_of(context.refusal) == told
+
+
+@when('a registry entry has {fault}')
+def step_entry(context: Any, fault: str) -> None:
+    assert rows.target_of('i-1', json.dumps(_GOOD_ENTRY).encode()) is not None
+    changes = {
+        'no service': {'service': None},
+        'an unknown state': {'state': 'resting'},
+        'an unknown role': {'db_role': 'witness'},
+        'a number as address': {'address': 9},
+        'unreadable bytes': None,
+    }[fault]
+    raw = b'\xff{' if changes is None else json.dumps({**_GOOD_ENTRY, **changes}).encode()
+    context.target = rows.target_of('i-1', raw)
+
+
+@then('it names no target')
+def step_no_target(context: Any) -> None:
+    assert context.target is None
+
+
+@when('a configuration has one good route and one whose timeout is a text')
+def step_configuration(context: Any) -> None:
+    good = {'name': 'r', 'host': 'db', 'route_type': 'primary', 'service': 's', 'timeout_ms': 900}
+    plain = {
+        'version': 7,
+        'routes': [{**good, 'name': 'bad', 'host': 'other', 'timeout_ms': 'soon'}, good],
+        'services': [{'name': 's', 'max_conns': 9}],
+        'tenants': [{'name': 't', 'api_keys': ['k'], 'rate_per_s': 5, 'burst': 6}],
+        'limits': {'tx_idle_ms': 2500},
+    }
+    context.configuration = rows.configuration_of('config', json.dumps(plain).encode())
+
+
+@then('the good route and its organisation are in force')
+def step_in_force(context: Any) -> None:
+    configuration = context.configuration
+    assert list(configuration.routes_by_database) == ['db']
+    assert configuration.organisation_ids_by_credential == {'k': 't'}
+    assert configuration.idle_transaction_s == 2.5 and configuration.version == 7
+
+
+@then('no module outside platform/ names a call, code or field of the platform')
+def step_words(context: Any) -> None:
+    found = [
+        f'{path.relative_to(_ROOT)}: {match.group()}'
+        for path in sorted((_ROOT / 'packages').rglob('*.py'))
+        for match in _WORDS.finditer(path.read_text('utf-8'))
+    ]
+    assert not found, found
+
+
+@given("a real instance with the platform's adapters before stand-ins of the platform and its databases")
+def step_real(context: Any) -> None:
+    context.world = relay_processes.Deployment()
+    context.world.start()
+
+
+@when('a caller writes, reads, sends malformed lines, an unknown database and an unknown key')
+def step_callers(context: Any) -> None:
+    context.told = context.world.talk()
+
+
+@then('each gets its exact answer and the other sessions go on')
+def step_told(context: Any) -> None:
+    told = context.told
+    assert told['write'][0].startswith('DONE i-') and told['write'][1].startswith('READY I 1.'), told
+    assert told['read'][0] == 'ROW v1' and told['read'][1].startswith('DONE i-'), told
+    assert told['malformed'][0].startswith('ERROR MALFORMED'), told
+    assert told['no cr'][0].startswith('ERROR MALFORMED'), told
+    assert told['unknown statement'][0].startswith('ERROR NOSTMT'), told
+    assert told['unknown database'] == ['ERROR NODB there is no such database'], told
+    assert told['unknown key'][0].startswith('ERROR NOAUTH'), told
+    assert told['after'][0] == 'ROW v1', told
+
+
+@then('the instance stops at SIGTERM within its grace with exit code 0')
+def step_stops(context: Any) -> None:
+    assert context.world.stop() == 0
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,73 @@
+"""Steps that play scenarios on the emulator."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from features import relay_guards
+from fescuequay_emulator.scenarios import Fault, Scenario, play
+
+
+@given('the relay scenario of seed {seed:d}')
+def step_scenario(context: Any, seed: int) -> None:
+    faults = []
+    for row in context.table:
+        plain = {name: row[name] for name in row.headings}
+        faults.append(
+            Fault(
+                at=float(plain['at']),
+                kind=plain['kind'],
+                for_s=float(plain['for_s']),
+                on=plain['on'],
+                how='' if plain['how'] == '-' else plain['how'],
+                share=float(plain['share']),
+            )
+        )
+    context.scenario_played = Scenario('a scenario of the features', faults=tuple(faults))
+    context.seed = seed
+
+
+@when('it is played')
+def step_play(context: Any) -> None:
+    context.figures = play(context.scenario_played, context.seed)
+
+
+@when('it is played twice')
+def step_play_twice(context: Any) -> None:
+    context.both = [play(context.scenario_played, context.seed) for _ in range(2)]
+
+
+@when('it is played on seeds {first:d} to {last:d} without {guard}')
+def step_play_without(context: Any, first: int, last: int, guard: str) -> None:
+    context.kinds = set()
+    with relay_guards.removed(guard):
+        for seed in range(first, last + 1):
+            figures = play(context.scenario_played, seed)
+            context.kinds.update(broken.promise for broken in figures.broken)
+
+
+@then('no promise was broken')
+def step_none_broken(context: Any) -> None:
+    assert not context.figures.broken, context.figures.broken[:5]
+
+
+@then('at least {share:d}% of the operations were served')
+def step_served(context: Any, share: int) -> None:
+    figures = context.figures
+    assert figures.served >= figures.asked * share / 100, (figures.served, figures.asked, figures.refused)
+
+
+@then('no more than {gap:g} s went by without a served write')
+def step_gap(context: Any, gap: float) -> None:
+    assert context.figures.write_gap_s <= gap, context.figures.write_gap_s
+
+
+@then('both runs are the same')
+def step_same(context: Any) -> None:
+    first, second = context.both
+    assert first == second, (first, second)
+
+
+@then('a promise was broken: {promises}')
+def step_broken(context: Any, promises: str) -> None:
+    assert context.kinds & set(promises.split(', ')), context.kinds
--- a/packages/fescuequay-core/fescuequay_core/relay/buckets.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/buckets.py
@@ -10,14 +10,14 @@
 from fescuequay_core.types import Instant, OrganisationId
 
 #: Time after an exchange, counted from its request, for which the coordinator alone gives tokens, in seconds.
-#: Four exchanges; afterwards this instance lives on its even part of the rate.
-CONTACT_S: Final = 1.5
+#: Two exchanges and a half; afterwards this instance lives on its even part of the rate.
+CONTACT_S: Final = 0.9
 
 #: Time for which tokens of the coordinator may be used, in seconds. It bounds what a silent instance takes along.
 _STOCK_S: Final = 2.0
 
-#: Demand that the stock covers, in seconds: a little more than the time between two exchanges.
-_COVER_S: Final = 0.45
+#: Demand that the stock covers, in seconds: most of the time until this instance may live on its even part.
+_COVER_S: Final = 0.6
 
 #: Weight of the latest interval in the smoothed demand.
 _DEMAND_WEIGHT: Final = 0.4
@@ -74,29 +74,32 @@
         """Tell until when the coordinator counts on this instance to use no even part."""
         self._contact_until = max(self._contact_until, until)
 
-    def take(self, organisation: OrganisationId, now: Instant, *, is_retry: bool = False) -> Take:
+    def take(
+        self, organisation: OrganisationId, now: Instant, longest_wait_s: float, *, is_retry: bool = False
+    ) -> tuple[Take, float]:
         """Take one token.
 
         :param organisation: The organisation; one without a limit needs none.
         :param now: Present time.
+        :param longest_wait_s: Longest wait for a token of the even part.
         :param is_retry: Whether the operation asked before.
-        :returns: Taken; or whether the coordinator may have one; or that the rate is used up.
+        :returns: Taken, and how long to wait before it is used; or whether the coordinator may have one; or
+            that the rate is used up, and when to come back.
         """
         policy = self._policies_by_organisation.get(organisation)
         if policy is None:
-            return Take.TAKEN
+            return Take.TAKEN, 0.0
         stock = self._stocks_by_organisation.setdefault(organisation, _Stock())
         stock.asked += 0 if is_retry else 1
         self._settle(stock, policy, now)
         if stock.tokens >= 1:
             stock.tokens -= 1
-            return Take.TAKEN
+            return Take.TAKEN, 0.0
         if now >= self._contact_until:
-            if stock.floor_level < 1:
-                return Take.DRY
-            stock.floor_level -= 1
-            return Take.TAKEN
-        return Take.DRY if now < stock.dry_until else Take.ASK
+            return self._take_even_part(stock, policy, longest_wait_s)
+        if now < stock.dry_until:
+            return Take.DRY, stock.dry_until - now
+        return Take.ASK, 0.0
 
     def wait(self, organisation: OrganisationId, change: int) -> None:
         """Count the operations that wait for a token."""
@@ -104,11 +107,6 @@
         if stock is not None:
             stock.waiting = max(stock.waiting + change, 0)
 
-    def dry_for_s(self, organisation: OrganisationId, now: Instant) -> float:
-        """:returns: Time until a token may be there again."""
-        stock = self._stocks_by_organisation.get(organisation)
-        return max(stock.dry_until - now, _LEAST_INTERVAL_S) if stock is not None else _LEAST_INTERVAL_S
-
     def wants(self, now: Instant) -> dict[OrganisationId, int]:
         """Bring the demand up to date.
 
@@ -150,6 +148,14 @@
         stock.until = asked_at + _STOCK_S
         stock.dry_until = asked_at + dry_s if dry_s > 0 else float('-inf')
 
+    def _take_even_part(self, stock: _Stock, policy: OrganisationPolicy, longest_wait_s: float) -> tuple[Take, float]:
+        rate_per_s = policy.rate_per_s / self._members if self._members else 0.0
+        wait_s = max(1 - stock.floor_level, 0) / rate_per_s if rate_per_s > 0 else 1.0
+        if wait_s > longest_wait_s:
+            return Take.DRY, wait_s
+        stock.floor_level -= 1
+        return Take.TAKEN, wait_s
+
     def _settle(self, stock: _Stock, policy: OrganisationPolicy, now: Instant) -> None:
         if stock.until <= now:
             stock.tokens = 0.0
--- a/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
@@ -10,7 +10,7 @@
 
 #: Time by which the coordinator stops counting on an instance before the instance itself does, in seconds:
 #: the longest that a request may have been on its way.
-_MARGIN_S: Final = 0.4
+_MARGIN_S: Final = 0.35
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""A deterministic model of callers, targets, the table and the network, around real instances."""
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/callers.py
@@ -0,0 +1,296 @@
+"""Model callers: sessions that send operations, retry as the pages allow, and remember what they were told."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import random
+from collections.abc import Sequence
+from typing import Final
+
+from fescuequay_core.relay.model import (
+    Credential,
+    DatabaseName,
+    LogPosition,
+    SessionState,
+    Statement,
+    StatementKind,
+)
+from fescuequay_core.relay.refusals import Promise, Refused
+from fescuequay_core.types import RequestId
+from fescuequay_entry.relay.ports import (
+    CallerConnection,
+    CallerHandler,
+    CallerListener,
+    CallerMessage,
+    Closing,
+    Opening,
+    Query,
+)
+
+#: Refusals that promise that nothing of the attempt is kept.
+PROMISES: Final = frozenset(
+    (
+        Promise.OVERLOADED,
+        Promise.ABORTED,
+        Promise.BEHIND,
+        Promise.NOT_LEADING,
+        Promise.WRONG_TARGET,
+        Promise.TOO_MANY_CONNECTIONS,
+    )
+)
+
+
+class Told(enum.Enum):
+    """What a caller was told of one statement."""
+
+    SERVED = 'served'
+    PROMISED = 'promised'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """One statement that a caller sent.
+
+    :param request: Its id.
+    :param session: Number of the session.
+    :param credential: Key of the session.
+    :param database: Database that the session opened.
+    :param statement: The statement.
+    :param at: When it was sent.
+    :param work_at: When its transaction, or the statement itself, began.
+    :param values: Session values that were acknowledged by then.
+    :param shape: Shape that its prepared name was given.
+    :param transaction: Number of the caller's transaction; 0 outside one.
+    :param told: What it was told.
+    :param told_at: When.
+    :param refusal: The refusal.
+    :param signature: Mark of success.
+    """
+
+    request: RequestId
+    session: int
+    credential: Credential
+    database: DatabaseName
+    statement: Statement
+    at: float
+    work_at: float
+    values: dict[str, str]
+    shape: tuple[str, bool] | None
+    transaction: int
+    told: Told | None = None
+    told_at: float = 0.0
+    refusal: Refused | None = None
+    signature: str = ''
+
+
+class ModelCaller(CallerConnection):
+    """Both ends of one session's connection; the network lies in the session's own delay."""
+
+    def __init__(self) -> None:
+        self._inbox: collections.deque[CallerMessage] = collections.deque()
+        self._inbox_waiter: asyncio.Future[None] | None = None
+        self._answers: asyncio.Queue[tuple[Refused | None, str, SessionState] | None] = asyncio.Queue()
+        self.is_gone = False
+        self.is_closed = False
+
+    def send(self, message: CallerMessage) -> None:
+        """Send a message to the instance."""
+        self._inbox.append(message)
+        self._wake()
+
+    def leave(self) -> None:
+        """End the connection from the caller's side."""
+        self.is_gone = True
+        self._wake()
+
+    async def answered(self) -> tuple[Refused | None, str, SessionState] | None:
+        """:returns: The next answer; nothing when the connection ended."""
+        return await self._answers.get()
+
+    async def receive(self) -> CallerMessage:
+        """:returns: The next message."""
+        while not self._inbox:
+            if self.is_gone or self.is_closed:
+                return Closing()
+            self._inbox_waiter = asyncio.get_running_loop().create_future()
+            await self._inbox_waiter
+        return self._inbox.popleft()
+
+    def has_unread(self) -> bool:
+        """:returns: Whether messages wait."""
+        return bool(self._inbox)
+
+    def answer(self, rows: Sequence[str], signature: str, state: SessionState, position: LogPosition | None) -> None:
+        """Take a success."""
+        self._put((None, signature, state))
+
+    def refuse(self, refusal: Refused, state: SessionState, position: LogPosition | None) -> None:
+        """Take a refusal."""
+        self._put((refusal, '', state))
+
+    def welcome(self) -> None:
+        """Take the welcome."""
+        self._put((None, '-', SessionState.IDLE))
+
+    def turn_away(self, refusal: Refused) -> None:
+        """Take the refusal of the session."""
+        self._put((refusal, '', SessionState.IDLE))
+        self.close()
+
+    def close(self) -> None:
+        """Take the end of the connection."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._answers.put_nowait(None)
+            self._wake()
+
+    def _put(self, answer: tuple[Refused | None, str, SessionState]) -> None:
+        if not self.is_closed:
+            self._answers.put_nowait(answer)
+
+    def _wake(self) -> None:
+        if self._inbox_waiter is not None and not self._inbox_waiter.done():
+            self._inbox_waiter.set_result(None)
+
+
+class ModelListener(CallerListener):
+    """The callers' listener of one instance."""
+
+    def __init__(self) -> None:
+        self._handler: CallerHandler | None = None
+        self.is_accepting = False
+        self.connections: dict[ModelCaller, None] = {}
+
+    async def start(self, handler: CallerHandler) -> None:
+        """Accept callers."""
+        self._handler = handler
+        self.is_accepting = True
+
+    def stop_accepting(self) -> None:
+        """Accept no more."""
+        self.is_accepting = False
+
+    def connect(self) -> ModelCaller | None:
+        """:returns: A new connection, or nothing when none is accepted; runs as the instance's own task."""
+        if not self.is_accepting or self._handler is None:
+            return None
+        caller = ModelCaller()
+        self.connections[caller] = None
+        task = asyncio.ensure_future(self._handler(caller))
+        task.add_done_callback(lambda _: self.connections.pop(caller, None))
+        return caller
+
+    def break_off(self) -> None:
+        """End every connection, as the end of the process does."""
+        self.is_accepting = False
+        for caller in tuple(self.connections):
+            caller.close()
+
+
+class Session:
+    """One caller: opens a session, sends statements and keeps what it was told.
+
+    :param number: Its number.
+    :param credential: Its key.
+    :param database: Database that it opens.
+    :param sent: Where every statement is remembered.
+    :param chance: Source of chance.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        credential: Credential,
+        database: DatabaseName,
+        sent: list[Sent],
+        chance: random.Random,
+    ) -> None:
+        self.number = number
+        self.credential = credential
+        self.database = database
+        self.values: dict[str, str] = {}
+        self.shapes: dict[str, tuple[str, bool]] = {}
+        self._sent = sent
+        self._chance = chance
+        self._caller: ModelCaller | None = None
+        self._transaction = 0
+        self._work_at = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """:returns: Whether the session stands."""
+        return self._caller is not None and not self._caller.is_closed
+
+    async def open(self, listener: ModelListener) -> Refused | None | bool:
+        """:returns: True when it was welcomed, a refusal, or nothing when there was no connection."""
+        self.close()
+        self._caller = listener.connect()
+        if self._caller is None:
+            return None
+        self._caller.send(Opening(self.database, self.credential))
+        answer = await self._caller.answered()
+        if answer is None:
+            return None
+        return answer[0] if answer[0] is not None else True
+
+    def close(self) -> None:
+        """End the session; its values and names are gone."""
+        if self._caller is not None:
+            self._caller.leave()
+            self._caller.close()
+        self._caller = None
+        self._transaction = 0
+        self.values = {}
+        self.shapes = {}
+
+    async def say(self, statement: Statement) -> Sent:
+        """Send one statement and wait for what is told.
+
+        :param statement: The statement.
+        :returns: What was sent and told.
+        """
+        loop = asyncio.get_running_loop()
+        if statement.kind is StatementKind.BEGIN:
+            self._transaction = self._chance.getrandbits(30) + 1
+        if statement.kind is StatementKind.BEGIN or not self._transaction:
+            self._work_at = loop.time()
+        sent = Sent(
+            RequestId(f'r{self._chance.getrandbits(48):012x}'),
+            self.number,
+            self.credential,
+            self.database,
+            statement,
+            loop.time(),
+            self._work_at,
+            dict(self.values),
+            self.shapes.get(statement.name) if statement.kind is StatementKind.EXECUTE else None,
+            self._transaction,
+        )
+        self._sent.append(sent)
+        assert self._caller is not None  # noqa: S101 -- sessions are opened first
+        self._caller.send(Query(sent.request, statement))
+        answer = await self._caller.answered()
+        sent.told_at = loop.time()
+        self._note(sent, answer)
+        return sent
+
+    def _note(self, sent: Sent, answer: tuple[Refused | None, str, SessionState] | None) -> None:
+        statement = sent.statement
+        if answer is None:
+            sent.told = Told.UNKNOWN
+            self._transaction = 0
+            return
+        refusal, sent.signature, state = answer
+        sent.refusal = refusal
+        if refusal is None:
+            sent.told = Told.SERVED
+            if statement.kind is StatementKind.SET:
+                self.values[statement.name] = statement.value
+            elif statement.kind is StatementKind.PREPARE:
+                self.shapes[statement.name] = (statement.value, statement.is_write)
+        else:
+            sent.told = Told.PROMISED if refusal.reason.promise in PROMISES else Told.UNKNOWN
+        if state is SessionState.IDLE:
+            self._transaction = 0
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/load.py
@@ -0,0 +1,174 @@
+"""A steady load of sessions of every kind, and a summary of what callers got."""
+
+import asyncio
+import collections
+import dataclasses
+from typing import Final
+
+from fescuequay_core.relay.model import Consistency, Credential, DatabaseName, Statement, StatementKind
+from fescuequay_emulator.callers import Sent, Session, Told
+from fescuequay_emulator.world import World
+
+#: Share of operations that write, and that are transactions.
+_WRITE_SHARE: Final = 0.25
+_TRANSACTION_SHARE: Final = 0.25
+
+#: Items that operations touch.
+_ITEMS: Final = 50
+
+#: Sessions that may be told apart by their number in one load.
+_NUMBERS: Final = 1000
+
+#: Pause between two tries of an operation, in seconds.
+_RETRY_S: Final = 0.1
+
+
+def read(item: int) -> Statement:
+    """:returns: A read."""
+    return Statement(StatementKind.READ, f'READ {item}')
+
+
+def write(item: int, value: str) -> Statement:
+    """:returns: A write."""
+    return Statement(StatementKind.WRITE, f'WRITE {item} {value}', is_write=True)
+
+
+def set_value(name: str, value: str) -> Statement:
+    """:returns: A setting of a session value."""
+    return Statement(StatementKind.SET, f'SET {name} {value}', name=name, value=value)
+
+
+def prepare(name: str, shape: str, *, is_write: bool) -> Statement:
+    """:returns: A preparation."""
+    mode = 'WRITE' if is_write else 'READ'
+    return Statement(StatementKind.PREPARE, f'PREPARE {name} {mode} {shape}', name=name, value=shape, is_write=is_write)
+
+
+def execute(name: str, item: int) -> Statement:
+    """:returns: An execution of a prepared statement."""
+    return Statement(StatementKind.EXECUTE, f'EXECUTE {name} {item}', name=name, arguments=str(item))
+
+
+BEGIN: Final = Statement(StatementKind.BEGIN, 'BEGIN', is_write=True)
+BEGIN_READ: Final = Statement(StatementKind.BEGIN, 'BEGIN READ')
+COMMIT: Final = Statement(StatementKind.COMMIT, 'COMMIT')
+ROLLBACK: Final = Statement(StatementKind.ROLLBACK, 'ROLLBACK')
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the operations of one kind.
+
+    :param asked: Operations.
+    :param served: Operations that were served in the end.
+    :param refused: Refusals by reason.
+    :param latencies_s: Time from the first try of each served operation.
+    """
+
+    asked: int = 0
+    served: int = 0
+    refused: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    latencies_s: list[float] = dataclasses.field(default_factory=list)
+
+
+class Load:
+    """Sessions that send operations for as long as they are let.
+
+    :param world: The deployment.
+    :param per_s: Operations a second over all sessions.
+    :param sessions: Number of sessions.
+    :param credential: Key of all of them; left out, they take turns.
+    """
+
+    def __init__(self, world: World, per_s: float, sessions: int, credential: Credential | None = None) -> None:
+        self._credential = credential
+        self._world = world
+        self._pause_s = sessions / per_s
+        self._sessions = sessions
+        self.tallies: dict[Consistency, Tally] = {kind: Tally() for kind in Consistency}
+        self.write_times: list[float] = []
+
+    async def run(self, for_s: float) -> None:
+        """Send operations for a time."""
+        until = self._world.loop.time() + for_s
+        await asyncio.gather(*(self._serve(number, until) for number in range(self._sessions)))
+
+    async def _serve(self, number: int, until: float) -> None:
+        world = self._world
+        kind = tuple(Consistency)[number % len(Consistency)]
+        service = world.chance.randrange(world.plan.services)
+        credentials = world.credentials()
+        session = Session(
+            number + world.chance.getrandbits(20) * _NUMBERS,
+            self._credential or credentials[number % len(credentials)],
+            DatabaseName(f'{kind.value}-{service}'),
+            world.judge.sent,
+            world.chance,
+        )
+        await asyncio.sleep(world.chance.uniform(0, self._pause_s))
+        while world.loop.time() < until:
+            await self._operate(session, self.tallies[kind], kind)
+            await asyncio.sleep(world.chance.expovariate(1 / self._pause_s))
+        session.close()
+
+    async def _operate(self, session: Session, tally: Tally, kind: Consistency) -> None:
+        began_at = self._world.loop.time()
+        may_write = kind is not Consistency.BOUNDED
+        is_write = may_write and self._world.chance.random() < _WRITE_SHARE
+        is_transaction = self._world.chance.random() < _TRANSACTION_SHARE
+        tally.asked += 1
+        for _ in range(3):
+            try:
+                last = await asyncio.wait_for(self._try(session, is_write=is_write, is_transaction=is_transaction), 3.0)
+            except TimeoutError:
+                session.close()
+                return
+            if last is not None and last.told is Told.SERVED:
+                tally.served += 1
+                tally.latencies_s.append(self._world.loop.time() - began_at)
+                if is_write:
+                    self.write_times.append(self._world.loop.time())
+                return
+            if last is not None and last.refusal is not None:
+                tally.refused[last.refusal.reason.code] += 1
+            if last is not None and last.told is Told.UNKNOWN and is_write:
+                return
+            await asyncio.sleep(_RETRY_S)
+
+    async def _try(self, session: Session, *, is_write: bool, is_transaction: bool) -> Sent | None:
+        if not session.is_open and not await self._open(session):
+            return None
+        item = self._world.chance.randrange(_ITEMS)
+        if not is_transaction:
+            return await self._single(session, item, is_write=is_write)
+        sent = await session.say(BEGIN if is_write else BEGIN_READ)
+        steps = [read(item), *([write(item, f'v{session.number}')] if is_write else []), COMMIT]
+        for statement in steps:
+            if sent.told is not Told.SERVED:
+                break
+            await asyncio.sleep(self._world.chance.uniform(0, 0.05))
+            sent = await session.say(statement)
+        if sent.told is not Told.SERVED:
+            session.close()
+        return sent
+
+    async def _single(self, session: Session, item: int, *, is_write: bool) -> Sent:
+        if self._world.chance.random() < 0.5:
+            return await session.say(write(item, f'v{session.number}') if is_write else read(item))
+        name = 'w' if is_write else 'r'
+        if name not in session.shapes:
+            await session.say(prepare(name, f'q{session.number % 5}', is_write=is_write))
+        return await session.say(execute(name, item))
+
+    async def _open(self, session: Session) -> bool:
+        names = sorted(self._world.listeners)
+        ready = [name for name in names if self._world.instances[name].is_ready()]
+        if not ready:
+            return False
+        listener = self._world.listeners[self._world.chance.choice(ready)]
+        if await session.open(listener) is not True:
+            return False
+        await session.say(set_value('lang', f'l{session.number % 3}'))
+        if session.number % 2:
+            await session.say(set_value('user', f'u{session.number}'))
+        return True
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -0,0 +1,291 @@
+"""Scenarios in JSON with comments: a size, a load and a schedule of faults; and what came of a run."""
+
+import asyncio
+import dataclasses
+import pathlib
+import statistics
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+
+from fescuequay_core import jsonc
+from fescuequay_core.types import Role
+from fescuequay_emulator.judge import Broken
+from fescuequay_emulator.load import Load
+from fescuequay_emulator.network import Cut
+from fescuequay_emulator.table import PLACE, StoreFaults
+from fescuequay_emulator.world import ZONES, Plan, World
+
+#: Time after the load's end for which the deployment may come to rest, in seconds.
+_REST_S: Final = 4.0
+
+
+#: Factor by which a flood exceeds an organisation's rate, and its sessions.
+_FLOOD_X: Final = 7.0
+_FLOOD_SESSIONS: Final = 60
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One entry of the schedule.
+
+    :param at: Seconds from the start of the load.
+    :param kind: What happens.
+    :param for_s: For how long.
+    :param on: Which one: an instance's or target's number, or ``coordinator``.
+    :param how: Variant.
+    :param share: Part of the things that fit, or strength.
+    """
+
+    at: float
+    kind: str
+    for_s: float = 3.0
+    on: str = '0'
+    how: str = ''
+    share: float = 0.3
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """One scenario.
+
+    :param about: What it shows, in a sentence.
+    :param plan: Size; left out, the default.
+    :param seconds: Length of the load.
+    :param per_s: Operations a second.
+    :param sessions: Sessions.
+    :param faults: The schedule.
+    """
+
+    about: str
+    plan: Plan = Plan()
+    seconds: float = 15.0
+    per_s: float = 60.0
+    sessions: int = 24
+    faults: tuple[Fault, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """What came of a run.
+
+    :param broken: Promises that were not kept.
+    :param asked: Operations.
+    :param served: Operations that were served.
+    :param replica_share: Part of the reads off the primary route that replicas ran.
+    :param write_gap_s: Longest time without a write that was served.
+    :param median_s: Median time of a served operation.
+    :param refused: Refusals by reason.
+    :param store_calls: Calls of the table.
+    """
+
+    broken: tuple[Broken, ...]
+    asked: int
+    served: int
+    replica_share: float
+    write_gap_s: float
+    median_s: float
+    refused: dict[str, int]
+    store_calls: int
+
+
+def load(path: pathlib.Path) -> Scenario:
+    """:returns: The scenario of a file. :raises ValueError: It can not be read; the message names the file."""
+    plain, _ = jsonc.decode_text(path.read_bytes())
+    try:
+        return msgspec.convert(plain, Scenario)
+    except msgspec.ValidationError as error:
+        raise ValueError(f'{path}: {error}') from error
+
+
+def play(scenario: Scenario, seed: int) -> Figures:
+    """Play a scenario.
+
+    :param scenario: The scenario.
+    :param seed: Source of all chance; the same one gives the same run.
+    :returns: What came of it.
+    """
+    world = World(scenario.plan, seed)
+    load_of_callers = Load(world, scenario.per_s, scenario.sessions)
+
+    async def story(_: World) -> None:
+        await world.begin()
+        began_at = world.loop.time()
+        faults = [asyncio.ensure_future(_apply(world, fault, began_at)) for fault in scenario.faults]
+        await load_of_callers.run(scenario.seconds)
+        await asyncio.wait_for(asyncio.gather(*faults), 60)
+        await asyncio.sleep(_REST_S)
+
+    world.run(story)
+    return _figures(world, load_of_callers)
+
+
+def _figures(world: World, callers: Load) -> Figures:
+    tallies = callers.tallies.values()
+    latencies = [took for tally in tallies for took in tally.latencies_s]
+    times = sorted(callers.write_times)
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    primary_databases = {f'primary-{number}' for number in range(world.plan.services)}
+    databases = {sent.request: sent.database for sent in world.judge.sent}
+    reads = [
+        run
+        for run in world.judge.runs
+        if databases.get(run.request) not in primary_databases and run.statement.text.startswith(('READ', 'EXECUTE r'))
+    ]
+    refused: dict[str, int] = {}
+    for tally in tallies:
+        for reason, count in tally.refused.items():
+            refused[reason] = refused.get(reason, 0) + count
+    return Figures(
+        world.judge.findings(dict(world.kept_by_service())),
+        sum(tally.asked for tally in tallies),
+        sum(tally.served for tally in tallies),
+        sum(not run.is_primary for run in reads) / max(len(reads), 1),
+        max(gaps, default=0.0),
+        statistics.median(latencies) if latencies else 0.0,
+        refused,
+        world.store.calls,
+    )
+
+
+async def _apply(world: World, fault: Fault, began_at: float) -> None:
+    await asyncio.sleep(max(began_at + fault.at - world.loop.time(), 0))
+    action = _ACTIONS.get(fault.kind)
+    if action is None:
+        raise ValueError(f'unknown kind of fault {fault.kind!r}; known are {", ".join(sorted(_ACTIONS))}')
+    await action(world, fault)
+
+
+def _instance(world: World, fault: Fault) -> str:
+    names = sorted(world.instances)
+    if fault.on == 'coordinator':
+        for name in names:
+            if world.instances[name].board.duty.holds(world.loop.time()):
+                return name
+    return names[int(fault.on) % len(names)] if fault.on.isdigit() else names[0]
+
+
+async def _kill(world: World, fault: Fault) -> None:
+    await world.restart(_instance(world, fault), fault.for_s)
+
+
+async def _kill_all(world: World, fault: Fault) -> None:
+    await asyncio.gather(*(world.restart(name, fault.for_s) for name in sorted(world.instances)))
+
+
+async def _stop(world: World, fault: Fault) -> None:
+    await world.stop(_instance(world, fault))
+
+
+async def _crash_primary(world: World, fault: Fault) -> None:
+    await world.crash(world.primary_of(f's{fault.on}'), fault.for_s, dark=fault.how == 'dark')
+
+
+async def _drain_primary(world: World, fault: Fault) -> None:
+    world.drain(world.primary_of(f's{fault.on}'))
+
+
+async def _cut_zone(world: World, fault: Fault) -> None:
+    heal = world.cut_zone(ZONES[int(fault.on)], Cut.REFUSING if fault.how == 'reset' else Cut.SILENT)
+    await asyncio.sleep(fault.for_s)
+    heal()
+
+
+async def _cut_primary(world: World, fault: Fault) -> None:
+    """Cut a primary from a share of the instances, and from its replicas where ``how`` says so."""
+    primary = world.primary_of(f's{fault.on}')
+    names = sorted(world.instances)
+    places = [name for name in names if world.chance.random() < fault.share]
+    if 'replicas' in fault.how:
+        places += [other.name for other in primary.followers]
+    await _cut_pairs(world, [(primary.name, place) for place in places], fault)
+
+
+async def _cut_instance(world: World, fault: Fault) -> None:
+    """Cut an instance from the table, and from its peers where ``how`` is ``all``."""
+    name = _instance(world, fault)
+    others = [other for other in world.instances if other != name] if fault.how == 'all' else []
+    await _cut_pairs(world, [(name, PLACE), *((name, other) for other in others)], fault)
+
+
+async def _cut_pairs(world: World, pairs: list[tuple[str, str]], fault: Fault) -> None:
+    for near, far in pairs:
+        world.network.cut(near, far)
+    await asyncio.sleep(fault.for_s)
+    for near, far in pairs:
+        world.network.heal(near, far)
+
+
+async def _store(world: World, fault: Fault) -> None:
+    faults = StoreFaults(
+        is_silent=fault.how == 'silent',
+        is_busy=fault.how == 'busy',
+        rejected=frozenset(sorted(world.instances)[: int(fault.share * len(world.instances))])
+        if fault.how == 'some'
+        else frozenset(),
+        slow_x=fault.share if fault.how == 'slow' else 1.0,
+        lost_share=fault.share if fault.how in {'lost', 'late'} else 0.0,
+        late_s=3.0 if fault.how == 'late' else 0.0,
+    )
+    world.store.faults = faults
+    await asyncio.sleep(fault.for_s)
+    if world.store.faults is faults:
+        world.store.faults = StoreFaults()
+
+
+async def _compact(world: World, _: Fault) -> None:
+    world.store.oldest_kept = world.store.version
+
+
+async def _lag(world: World, fault: Fault) -> None:
+    replicas = [other for other in world.primary_of(f's{fault.on}').followers]
+    for replica in replicas:
+        replica.lag_s = fault.share
+        replica.is_deaf = fault.how == 'deaf'
+    await asyncio.sleep(fault.for_s)
+    for replica in replicas:
+        replica.lag_s = 0.02
+        replica.is_deaf = False
+        if replica.role is Role.REPLICA:
+            replica.follow()
+
+
+async def _lose_answers(world: World, fault: Fault) -> None:
+    targets = [target for target in world.targets.values() if target.description.service == f's{fault.on}']
+    for target in targets:
+        target.lost_share = fault.share
+    await asyncio.sleep(fault.for_s)
+    for target in targets:
+        target.lost_share = 0.0
+
+
+async def _flood(world: World, fault: Fault) -> None:
+    """Let one organisation send many times its rate."""
+    flood = Load(
+        world, world.plan.rate_per_s * _FLOOD_X, _FLOOD_SESSIONS, credential=world.credentials()[int(fault.on)]
+    )
+    await flood.run(fault.for_s)
+
+
+async def _withdraw(world: World, fault: Fault) -> None:
+    world.withdraw(world.credentials()[int(fault.on)])
+
+
+_ACTIONS: Final[dict[str, Callable[[World, Fault], Awaitable[None]]]] = {
+    'kill': _kill,
+    'kill_all': _kill_all,
+    'stop': _stop,
+    'crash_primary': _crash_primary,
+    'drain_primary': _drain_primary,
+    'cut_zone': _cut_zone,
+    'cut_primary': _cut_primary,
+    'cut_instance': _cut_instance,
+    'store': _store,
+    'compact': _compact,
+    'lag': _lag,
+    'lose_answers': _lose_answers,
+    'flood': _flood,
+    'withdraw': _withdraw,
+}
+
+#: Kinds of faults, for the hunt.
+KINDS: Final = tuple(_ACTIONS)
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/table.py
@@ -0,0 +1,227 @@
+"""The model's table and the feeds of what operators and targets write, with their faults."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Mapping, Sequence
+from typing import Final, Generic, TypeVar
+
+from fescuequay_entry.relay.ports import (
+    Batch,
+    CommitResult,
+    Feed,
+    HistoryLost,
+    Table,
+    TableError,
+    TableRejected,
+    TableRow,
+)
+from fescuequay_emulator.network import Network
+
+Item = TypeVar('Item')
+
+#: Place of the table in the network.
+PLACE: Final = 'table'
+
+#: Time of one call at the table, in seconds.
+_CALL_S: Final = 0.004
+
+#: Longest wait of an instance for an answer, in seconds, as the real client has it.
+_LIMIT_S: Final = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the table now.
+
+    :param is_silent: It answers nobody.
+    :param is_busy: It rejects everybody.
+    :param rejected: Instances that it rejects.
+    :param slow_x: Factor of its time for a call.
+    :param lost_share: Share of the writes that are done and not answered.
+    :param late_s: Longest delay after which an unanswered write is done.
+    """
+
+    is_silent: bool = False
+    is_busy: bool = False
+    rejected: frozenset[str] = frozenset()
+    slow_x: float = 1.0
+    lost_share: float = 0.0
+    late_s: float = 0.0
+
+
+class Store:
+    """Rows with versions from one counter, and the feeds' entries beside them.
+
+    :param network: The network.
+    :param chance: Source of chance.
+    """
+
+    def __init__(self, network: Network, chance: random.Random) -> None:
+        self.network = network
+        self.faults = StoreFaults()
+        self.calls = 0
+        self.version = 0
+        self.rows: dict[str, TableRow] = {}
+        self.oldest_kept = 0
+        self._chance = chance
+        self._waiters: dict[asyncio.Future[None], None] = {}
+
+    def bump(self) -> int:
+        """:returns: The next version; whoever waits for a change is woken."""
+        self.version += 1
+        for waiter in tuple(self._waiters):
+            if not waiter.done():
+                waiter.set_result(None)
+        return self.version
+
+    async def wait(self, limit_s: float) -> None:
+        """Wait for the next change of anything."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = None
+        try:
+            await asyncio.wait_for(waiter, limit_s)
+        except TimeoutError:
+            return
+        finally:
+            self._waiters.pop(waiter, None)
+
+    async def enter(self, caller: str) -> None:
+        """Take a call to the table. :raises TableRejected: It was rejected."""
+        self.calls += 1
+        await self.network.travel(caller, PLACE)
+        if self.faults.is_silent:
+            await asyncio.get_running_loop().create_future()
+        await asyncio.sleep(_CALL_S * self.faults.slow_x)
+        if self.faults.is_busy or caller in self.faults.rejected:
+            raise TableRejected('503')
+
+    def commit(self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]) -> CommitResult:
+        """Do a conditional write."""
+        present = {key: self.rows[key] for key in versions if key in self.rows}
+        if any((present[key].version if key in present else 0) != version for key, version in versions.items()):
+            return CommitResult(is_accepted=False, version=self.version, rows_by_key=present)
+        version = self.bump()
+        for key, content in puts.items():
+            self.rows[key] = TableRow(key, content, version)
+        for key in deletes:
+            self.rows.pop(key, None)
+        return CommitResult(is_accepted=True, version=version, rows_by_key={})
+
+    async def answer_lost(self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]) -> None:
+        """Perhaps lose the answer of a write, which is done now or later, and wait for ever."""
+        if self._chance.random() >= self.faults.lost_share:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._chance.uniform(0, self.faults.late_s), self.commit, versions, puts, deletes)
+        await loop.create_future()
+
+
+async def _limited(step: 'asyncio._CoroutineLike[Item]', limit_s: float) -> Item:
+    try:
+        return await asyncio.wait_for(step, limit_s)
+    except (TimeoutError, ConnectionRefusedError) as error:
+        raise TableError(type(error).__name__) from error
+
+
+class ModelTable(Table):
+    """The table as one instance sees it.
+
+    :param store: The table.
+    :param caller: The instance.
+    """
+
+    def __init__(self, store: Store, caller: str) -> None:
+        self._store = store
+        self._caller = caller
+
+    async def read(self) -> tuple[TableRow, ...]:
+        """Read every row."""
+        return await _limited(self._read(), _LIMIT_S)
+
+    async def commit(
+        self, versions_by_key: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str] = ()
+    ) -> CommitResult:
+        """Write rows if others still have their versions."""
+        return await _limited(self._commit(versions_by_key, puts, deletes), _LIMIT_S)
+
+    async def _read(self) -> tuple[TableRow, ...]:
+        await self._store.enter(self._caller)
+        rows = tuple(self._store.rows[key] for key in sorted(self._store.rows))
+        await self._store.network.travel(PLACE, self._caller)
+        return rows
+
+    async def _commit(
+        self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
+    ) -> CommitResult:
+        await self._store.enter(self._caller)
+        await self._store.answer_lost(versions, puts, deletes)
+        written = self._store.commit(versions, puts, deletes)
+        await self._store.network.travel(PLACE, self._caller)
+        return written
+
+
+class Entries(Generic[Item]):
+    """Entries of one feed, with the version of each change.
+
+    :param store: The table whose counter they share.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.items: dict[str, Item] = {}
+        self.changes: list[tuple[int, str]] = []
+
+    def put(self, key: str, item: Item) -> None:
+        """Write an entry."""
+        self.items[key] = item
+        self.changes.append((self.store.version + 1, key))
+        self.store.bump()
+
+    def remove(self, key: str) -> None:
+        """Remove an entry."""
+        if self.items.pop(key, None) is not None:
+            self.changes.append((self.store.version + 1, key))
+            self.store.bump()
+
+
+class ModelFeed(Feed[Item]):
+    """A feed as one instance sees it.
+
+    :param entries: The entries.
+    :param caller: The instance.
+    """
+
+    def __init__(self, entries: Entries[Item], caller: str) -> None:
+        self._entries = entries
+        self._caller = caller
+
+    async def snapshot(self) -> Batch[Item]:
+        """:returns: All entries."""
+        return await _limited(self._snapshot(), _LIMIT_S)
+
+    async def changes(self, after: int, wait_s: float) -> Batch[Item]:
+        """Wait for changes."""
+        return await _limited(self._changes(after, wait_s), wait_s + _LIMIT_S)
+
+    async def _snapshot(self) -> Batch[Item]:
+        store = self._entries.store
+        await store.enter(self._caller)
+        batch: Batch[Item] = Batch(dict(self._entries.items), store.version)
+        await store.network.travel(PLACE, self._caller)
+        return batch
+
+    async def _changes(self, after: int, wait_s: float) -> Batch[Item]:
+        store = self._entries.store
+        await store.enter(self._caller)
+        if after < store.oldest_kept:
+            raise HistoryLost
+        until = asyncio.get_running_loop().time() + wait_s
+        while not self._since(after) and asyncio.get_running_loop().time() < until:
+            await store.wait(until - asyncio.get_running_loop().time())
+        batch: Batch[Item] = Batch({key: self._entries.items.get(key) for key in self._since(after)}, store.version)
+        await store.network.travel(PLACE, self._caller)
+        return batch
+
+    def _since(self, after: int) -> list[str]:
+        return [key for version, key in self._entries.changes if version > after]
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -0,0 +1,376 @@
+"""Assembles a model deployment of real instances, and applies faults to it."""
+
+import asyncio
+import contextvars
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Final, TypeVar
+
+from fescuequay_core.relay.model import (
+    Configuration,
+    Consistency,
+    Credential,
+    DatabaseName,
+    OrganisationPolicy,
+    Route,
+    ServicePolicy,
+    TargetDescription,
+)
+from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId, Term
+from fescuequay_emulator.callers import ModelListener
+from fescuequay_emulator.judge import Change, Judge
+from fescuequay_emulator.network import Cut, Network
+from fescuequay_emulator.table import PLACE, Entries, ModelFeed, ModelTable, Store
+from fescuequay_emulator.targets import Commit, ModelDriver, ModelTarget
+from fescuequay_emulator.virtual import VirtualLoop, owner
+from fescuequay_entry.relay.instance import Adapters, Instance
+from fescuequay_entry.relay.messages import (
+    CloseAnswer,
+    CloseRequest,
+    ExchangeAnswer,
+    ExchangeRequest,
+    News,
+)
+from fescuequay_entry.relay.ports import PEER_TIMEOUT_S, PeerError, Peers, Promoter, PromoteResult
+from fescuequay_entry.relay.settings import RelaySettings
+
+Answer = TypeVar('Answer')
+
+ZONES: Final = ('north', 'south', 'east', 'west')
+
+#: Heartbeats without which the registry drops a target, in seconds.
+_EXPIRY_S: Final = 3.6
+
+#: Time for which an address of a killed instance stays empty, in seconds, at the least.
+_RESTART_S: Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Size of a model deployment.
+
+    :param instances: Entry instances.
+    :param services: Services.
+    :param copies: Targets of each service.
+    :param slots: Statements that a target runs at a time.
+    :param max_connections: Connections that a target accepts.
+    :param work_s: Mean time of a statement.
+    :param promote_s: Time of a promotion.
+    :param organisations: Organisations.
+    :param rate_per_s: Rate of each organisation.
+    :param burst: Burst of each organisation.
+    """
+
+    instances: int = 5
+    services: int = 2
+    copies: int = 3
+    slots: int = 4
+    max_connections: int = 40
+    work_s: float = 0.02
+    promote_s: float = 0.3
+    organisations: int = 3
+    rate_per_s: float = 40.0
+    burst: float = 40.0
+
+
+class ModelPeers(Peers):
+    """Carries messages between instances through the network.
+
+    :param world: The deployment.
+    :param caller: The instance that sends.
+    """
+
+    def __init__(self, world: 'World', caller: str) -> None:
+        self._world = world
+        self._caller = caller
+
+    async def exchange(self, address: str, request: ExchangeRequest) -> ExchangeAnswer:
+        """:returns: The coordinator's answer."""
+
+        async def answer(instance: Instance) -> ExchangeAnswer:
+            return instance.membership.answer_exchange(request)
+
+        return await self._ask(address, answer, PEER_TIMEOUT_S)
+
+    async def close(self, address: str, request: CloseRequest, timeout_s: float) -> CloseAnswer:
+        """:returns: The confirmation."""
+        return await self._ask(address, lambda instance: instance.membership.answer_close(request), timeout_s)
+
+    async def tell(self, address: str, news: News) -> None:
+        """Tell a peer that something changed."""
+
+        async def take(instance: Instance) -> None:
+            instance.membership.take_news(news)
+
+        await self._ask(address, take, PEER_TIMEOUT_S)
+
+    async def _ask(self, address: str, question: Callable[[Instance], Awaitable[Answer]], timeout_s: float) -> Answer:
+        async def go() -> Answer:
+            name = self._world.names_by_address.get(address, address)
+            await self._world.network.travel(self._caller, name)
+            instance = self._world.instances.get(name)
+            if instance is None:
+                raise ConnectionRefusedError(address)
+            answer = await question(instance)
+            await self._world.network.travel(name, self._caller)
+            return answer
+
+        try:
+            return await asyncio.wait_for(go(), timeout_s)
+        except (TimeoutError, ConnectionRefusedError) as error:
+            raise PeerError(f'{address}: {type(error).__name__}') from error
+
+
+class ModelPromoter(Promoter):
+    """Carries out promotions.
+
+    :param world: The deployment.
+    :param caller: The instance that asks.
+    """
+
+    def __init__(self, world: 'World', caller: str) -> None:
+        self._world = world
+        self._caller = caller
+
+    async def promote(self, service: ServiceId, target: TargetId, holder: InstanceId, token: int) -> PromoteResult:
+        """Make a target lead the next term."""
+        try:
+            await asyncio.wait_for(self._world.network.travel(self._caller, PLACE), 1.0)
+        except (TimeoutError, ConnectionRefusedError):
+            return PromoteResult.UNKNOWN
+        self._world.promotions.append((self._world.loop.time(), holder, token, target))
+        found = self._world.targets.get(target)
+        if found is None or not found.is_alive:
+            return PromoteResult.REFUSED
+        if found.role is not Role.PRIMARY:
+            self._world.loop.call_later(self._world.plan.promote_s, self._world.make_lead, target)
+        return PromoteResult.ACCEPTED
+
+
+class World:
+    """A deployment in virtual time.
+
+    :param plan: Its size.
+    :param seed: Source of all chance.
+    """
+
+    def __init__(self, plan: Plan, seed: int) -> None:
+        self.plan = plan
+        self.loop = VirtualLoop()
+        # Pauses of the instances spread by the shared source, which is therefore seeded too.
+        random.seed(seed)
+        self.chance = random.Random(seed)
+        self.network = Network(self.chance)
+        self.network.add(PLACE, ZONES[-1])
+        self.store = Store(self.network, self.chance)
+        self.configurations: Entries[Configuration] = Entries(self.store)
+        self.registry: Entries[TargetDescription] = Entries(self.store)
+        self.judge = Judge()
+        self.targets: dict[str, ModelTarget] = {}
+        self.instances: dict[str, Instance] = {}
+        self.listeners: dict[str, ModelListener] = {}
+        self.names_by_address: dict[str, str] = {}
+        self.zones_by_instance: dict[str, str] = {}
+        self.promotions: list[tuple[float, InstanceId, int, TargetId]] = []
+        self._targets_by_address: dict[str, ModelTarget] = {}
+        self._incarnations = 0
+
+    def run(self, step: Callable[['World'], Awaitable[None]]) -> None:
+        """Run a scenario to its end.
+
+        :param step: What happens.
+        """
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(step(self))
+        finally:
+            self.loop.kill_all()
+            # The cancelled tasks end in the loop's next turns.
+            self.loop.run_until_complete(asyncio.sleep(0.1))
+            self.loop.close()
+
+    async def begin(self) -> None:
+        """Start targets, configuration and instances, and wait until every service is led."""
+        self.put_configuration(self.first_configuration())
+        for service in range(self.plan.services):
+            self._add_service(ServiceId(f's{service}'))
+        for number in range(self.plan.instances):
+            self.start_instance(f'n{number}', ZONES[number % len(ZONES)])
+        await asyncio.sleep(3.0)
+
+    def first_configuration(self) -> Configuration:
+        """:returns: Routes of every kind for every service, and an organisation for each key."""
+        plan = self.plan
+        routes: dict[str, Route] = {}
+        for number in range(plan.services):
+            for consistency in Consistency:
+                database = DatabaseName(f'{consistency.value}-{number}')
+                staleness_s = {Consistency.PRIMARY: 0.0, Consistency.BOUNDED: 1.5}.get(consistency, 2.5)
+                routes[database] = Route(
+                    database, database, ServiceId(f's{number}'), consistency, staleness_s, 1.0, 0.3, 1, is_open=False
+                )
+        names = [OrganisationId(f'o{number}') for number in range(plan.organisations)]
+        return Configuration(
+            1,
+            3.0,
+            routes,
+            {
+                f's{number}': ServicePolicy(ServiceId(f's{number}'), plan.max_connections, 0)
+                for number in range(plan.services)
+            },
+            {name: OrganisationPolicy(name, plan.rate_per_s, plan.burst) for name in names},
+            {f'key-{name}': name for name in names},
+        )
+
+    def put_configuration(self, configuration: Configuration) -> None:
+        """Let the operator write a configuration."""
+        self.configurations.put('config', configuration)
+        self.judge.configurations.append((self.loop.time(), configuration))
+
+    def withdraw(self, credential: str) -> None:
+        """Let the operator withdraw a key."""
+        newest = self.judge.configurations[-1][1]
+        kept = {key: name for key, name in newest.organisation_ids_by_credential.items() if key != credential}
+        self.put_configuration(
+            dataclasses.replace(newest, version=newest.version + 3, organisation_ids_by_credential=kept)
+        )
+
+    def start_instance(self, name: str, zone: str) -> Instance:
+        """Start an instance."""
+        self.network.add(name, zone)
+        self.zones_by_instance[name] = zone
+        self._incarnations += 1
+        settings = RelaySettings(name, zone, name, '0.0.0.0:1', '0.0.0.0:2', (1, 2), '0.0.0.0:3', '0.0.0.0:4', 6.0)
+        self.names_by_address[f'{name}:1'] = name
+        listener = ModelListener()
+        adapters = Adapters(
+            listener,
+            ModelDriver(self.network, self._targets_by_address, name),
+            ModelTable(self.store, name),
+            ModelFeed(self.configurations, name),
+            ModelFeed(self.registry, name),
+            ModelPromoter(self, name),
+            ModelPeers(self, name),
+        )
+        instance = Instance(settings, adapters, self.loop.time)
+        self.instances[name] = instance
+        self.listeners[name] = listener
+        self.spawn_as(name, instance.start)
+        return instance
+
+    def spawn_as(self, name: str, step: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        """Run a step as a task of a process."""
+        context = contextvars.copy_context()
+        context.run(owner.set, name)
+        return self.loop.create_task(step(), context=context)  # type: ignore[arg-type]
+
+    def kill(self, name: str) -> None:
+        """End an instance as SIGKILL does."""
+        self.instances.pop(name, None)
+        self.listeners.pop(name).break_off()
+        self.loop.kill(name)
+        for target in self.targets.values():
+            for connection in tuple(target.connections):
+                if connection._caller == name:  # noqa: SLF001 -- the world ends both ends
+                    connection.break_off()
+
+    async def restart(self, name: str, after_s: float = _RESTART_S) -> None:
+        """Kill an instance and start it again."""
+        self.kill(name)
+        await asyncio.sleep(after_s)
+        self.start_instance(name, self.zones_by_instance[name])
+
+    async def stop(self, name: str) -> None:
+        """Stop an instance by plan, then start it again."""
+        instance = self.instances[name]
+        await self.spawn_as(name, instance.stop)
+        await self.restart(name)
+
+    def primary_of(self, service: str) -> ModelTarget:
+        """:returns: The newest primary of a service."""
+        leaders = [
+            target
+            for target in self.targets.values()
+            if target.description.service == service and target.role is Role.PRIMARY
+        ]
+        return max(leaders, key=lambda target: target.term)
+
+    def make_lead(self, name: TargetId) -> None:
+        """Let a target lead the next term, if it runs."""
+        target = self.targets[name]
+        if not target.is_alive or target.role is Role.PRIMARY:
+            return
+        term = Term(max(other.term for other in (target, *target.followers)) + 1)
+        target.lead(term)
+        self.judge.changes.append(Change(self.loop.time(), target.description.service, name, term, tuple(target.log)))
+        self._describe(target, role=Role.PRIMARY)
+
+    async def crash(self, target: ModelTarget, for_s: float, *, dark: bool = False) -> None:
+        """Crash a target, let its entry expire, and start it again."""
+        target.crash(dark=dark)
+        await asyncio.sleep(min(_EXPIRY_S, for_s))
+        if for_s > _EXPIRY_S:
+            self.registry.remove(target.name)
+            await asyncio.sleep(for_s - _EXPIRY_S)
+        target.restart()
+        self._describe(target, role=target.role)
+
+    def drain(self, target: ModelTarget) -> None:
+        """Let a target say that it leaves."""
+        self._describe(target, role=target.role, is_draining=True)
+
+    def cut_zone(self, zone: str, how: Cut = Cut.SILENT) -> Callable[[], None]:
+        """Cut a data centre off.
+
+        :returns: Ends the cut.
+        """
+        places = self.network.zones_by_place
+        inside = [place for place, other in places.items() if other == zone]
+        outside = [place for place, other in places.items() if other != zone]
+        pairs = [(near, far) for near in inside for far in outside]
+        for near, far in pairs:
+            self.network.cut(near, far, how)
+
+        began_at = self.loop.time()
+
+        def heal() -> None:
+            for near, far in pairs:
+                self.network.heal(near, far)
+            names = [place for place in inside if place in self.instances]
+            self.judge.cut_off.extend((name, began_at, self.loop.time()) for name in names)
+
+        return heal
+
+    def credentials(self) -> tuple[Credential, ...]:
+        """:returns: The keys of the first configuration."""
+        return tuple(Credential(key) for key in self.judge.configurations[0][1].organisation_ids_by_credential)
+
+    def kept_by_service(self) -> Mapping[ServiceId, tuple[Commit, ...]]:
+        """:returns: Log of each service's primary."""
+        return {
+            ServiceId(f's{number}'): tuple(self.primary_of(f's{number}').log) for number in range(self.plan.services)
+        }
+
+    def _add_service(self, service: ServiceId) -> None:
+        members = []
+        for copy in range(self.plan.copies):
+            zone = ZONES[copy % len(ZONES)]
+            name = TargetId(f'{service}-t{copy}')
+            role = Role.PRIMARY if copy == 0 else Role.REPLICA
+            description = TargetDescription(name, 1, service, f'{name}:9', zone, is_draining=False, role=role)
+            self.network.add(name, zone)
+            target = ModelTarget(
+                self.network, self.chance, description, self.plan.slots, self.plan.work_s, self.judge.runs.append
+            )
+            target.max_connections = self.plan.max_connections
+            members.append(target)
+            self.targets[name] = target
+            self._targets_by_address[description.address] = target
+            self.registry.put(name, description)
+        for target in members:
+            target.followers = [other for other in members if other is not target]
+
+    def _describe(self, target: ModelTarget, *, role: Role, is_draining: bool = False) -> None:
+        target.description = dataclasses.replace(target.description, role=role, is_draining=is_draining)
+        self.registry.put(target.name, target.description)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -97,7 +97,7 @@
         board = self._board
         now = board.clock()
         if not board.duty.holds(now):
-            return ExchangeAnswer(is_coordinator=False)
+            return ExchangeAnswer(is_coordinator=False, duty=board.duty.record)
         member = request.member
         if board.members_by_id.get(member.instance) != member:
             board.members_by_id[member.instance] = member
@@ -108,6 +108,7 @@
         wanted = {OrganisationId(name): count for name, count in request.wanted.items()}
         return ExchangeAnswer(
             is_coordinator=True,
+            duty=board.duty.record,
             records=board.permits.records(),
             record_age_s=board.permits.oldest_age_s(now) if board.permits.records() else 0.0,
             members=tuple(board.members_by_id.values()),
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -35,6 +35,13 @@
 #: Time between two sweeps of idle connections and doubtful targets, in seconds.
 _SWEEP_S: Final = 0.5
 
+#: Time without any answer from outside the data centre from which an instance asks for no more callers, in
+#: seconds: three exchanges. A silent table alone does not count, since no other instance would be better off.
+_ISOLATED_S: Final = 1.1
+
+#: Time after which its idle sessions are closed, in seconds: the balancer needs two questions a second apart.
+_MOVE_S: Final = 1.8
+
 #: Gap between the steady and the boot clock that shows that the machine was suspended, in seconds.
 _SUSPEND_S: Final = 0.2
 
@@ -159,7 +166,9 @@
 
     def is_ready(self) -> bool:
         """:returns: Whether new callers should come here."""
-        return not self.board.is_stopping and self.board.configuration is not None and self.board.has_targets
+        if self.board.is_stopping or self.board.configuration is None or not self.board.has_targets:
+            return False
+        return self.membership.isolated_s() < _ISOLATED_S
 
     async def _serve_caller(self, caller: CallerConnection) -> None:
         session = Session(self.board, self._runner, self.metrics, caller)
@@ -175,6 +184,7 @@
             await asyncio.sleep(_SWEEP_S)
             self._pools.sweep()
             self._target_follower.sweep()
+            self._move_callers()
             self.metrics.record_age.set(self.board.permits.oldest_age_s(self.board.clock()))
             if self.board.configuration is not None:
                 self.metrics.configuration.set(self.board.configuration.version)
@@ -183,6 +193,14 @@
                 log_event('machine_was_suspended', seconds=round(_suspended_s() - gap_s, 2))
                 gap_s = _suspended_s()
 
+    def _move_callers(self) -> None:
+        """Cut off from everything outside, close idle sessions, so that callers come back at other instances."""
+        if self.membership.isolated_s() < _ISOLATED_S + _MOVE_S:
+            return
+        closed = sum(session.close_if_idle() for session in tuple(self._sessions))
+        if closed:
+            log_event('callers_moved', sessions=closed, isolated_s=round(self.membership.isolated_s(), 2))
+
     def _begin(self, name: str, step: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(step)
         task.add_done_callback(lambda done: _report(name, done))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -53,6 +53,9 @@
         self._urgent = asyncio.Event()
         self._is_registered = False
         self._was_lost = False
+        self._table_at: Instant = board.clock()
+        self._heard_at: Instant = board.clock()
+        self._tasks: set[asyncio.Task[None]] = set()
         board.changes.subscribe(self._on_change)
 
     async def run(self) -> None:
@@ -85,6 +88,8 @@
         """Exchange at once, and take a newer configuration."""
         if news.configuration is not None:
             self._board.adopt(news.configuration, 'peer')
+        if news.duty is not None:
+            self._board.duty.learn(news.duty, self._board.clock())
         self._urgent.set()
 
     async def leave(self) -> None:
@@ -96,6 +101,10 @@
             except TableError as error:
                 log_event('leave_failed', detail=str(error))
 
+    def isolated_s(self) -> float:
+        """:returns: Time since the table or an instance of another data centre last answered."""
+        return self._board.clock() - max(self._table_at, self._heard_at)
+
     def _on_change(self, subject: str) -> None:
         if subject == 'demand':
             self._urgent.set()
@@ -119,20 +128,59 @@
             self._is_registered = True
             await self._records.read()
         if duty.is_own():
-            await self._coordinator.round()
-            self._coordinator.take_own_part(board.clock())
+            await self._act()
             return
         if duty.record is not None and duty.record.instance and await self._exchange(duty.record.address):
             if board.permits.oldest_age_s(board.clock()) < _STALE_S or not board.permits.records():
                 return
-        await self._records.read()
+        asking = asyncio.ensure_future(self._ask_another())
+        try:
+            await self._records.read()
+        finally:
+            await asking
+        self._table_at = board.clock()
         if board.own.instance not in board.members_by_id:
             await self._records.register()
         if board.duty.may_take(board.clock()) and not board.is_stopping:
             await asyncio.sleep(random.uniform(0, _SPREAD_S))  # noqa: S311 -- spreads calls, no secret
-            if await self._records.take_duty():
-                await self._records.read()
-                await self._coordinator.round()
+            await self._take_duty()
+
+    async def _act(self) -> None:
+        """Coordinate; while the table does not answer, ask around whether another instance took over."""
+        board = self._board
+        try:
+            await self._coordinator.round()
+            self._table_at = board.clock()
+        finally:
+            self._coordinator.take_own_part(board.clock())
+            if not board.duty.holds(board.clock()):
+                await self._ask_another()
+
+    async def _take_duty(self) -> None:
+        if not await self._records.take_duty():
+            return
+        await self._records.read()
+        news = News(duty=self._board.duty.record)
+        for member in self._others():
+            self._send(member.address, news)
+        await self._coordinator.round()
+
+    async def _ask_another(self) -> None:
+        """Ask some instance, preferably of another data centre: it may know the coordinator, and it shows a path."""
+        others = self._others()
+        far = [member for member in others if member.data_centre != self._board.own.data_centre]
+        if far or others:
+            await self._exchange(random.choice(far or others).address)  # noqa: S311 -- spreads calls, no secret
+
+    def _others(self) -> list[MemberRecord]:
+        own = self._board.own.instance
+        return [member for member in self._board.members_by_id.values() if member.instance != own]
+
+    def _heard(self, address: str, at: Instant) -> None:
+        """Note that a peer answered; one of another data centre shows a path out of this one."""
+        centres = {member.address: member.data_centre for member in self._others()}
+        if centres.get(address) != self._board.own.data_centre or len(set(centres.values())) <= 1:
+            self._heard_at = at
 
     async def _exchange(self, address: str) -> bool:
         """:returns: Whether the coordinator answered."""
@@ -142,6 +190,9 @@
         except PeerError as error:
             self._note_lost('coordinator', str(error))
             return False
+        self._heard(address, began_at)
+        if answer.duty is not None:
+            self._board.duty.learn(answer.duty, began_at)
         if not answer.is_coordinator:
             return False
         if self._was_lost:
@@ -177,7 +228,7 @@
         if answer.configuration is not None:
             board.adopt(answer.configuration, 'coordinator')
         elif board.configuration is not None and board.configuration.version > answer.configuration_version:
-            self._offer(board.duty.record.address if board.duty.record else '')
+            self._send(board.duty.record.address if board.duty.record else '', News(board.configuration))
         if answer.targets and not board.has_targets:
             for target in answer.targets:
                 board.targets_by_id.setdefault(target.target, target)
@@ -192,15 +243,16 @@
             if known is not None and known.term == note.term:
                 board.samples.note(known.service, known.term, Sample(began_at - note.age_s, position))
 
-    def _offer(self, address: str) -> None:
-        task = asyncio.ensure_future(self._send_configuration(address))
-        task.add_done_callback(lambda done: done.exception())
+    def _send(self, address: str, news: News) -> None:
+        task = asyncio.ensure_future(self._tell(address, news))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    async def _send_configuration(self, address: str) -> None:
+    async def _tell(self, address: str, news: News) -> None:
         try:
-            await self._peers.tell(address, News(self._board.configuration))
+            await self._peers.tell(address, news)
         except PeerError as error:
-            log_event('configuration_not_relayed', address=address, detail=str(error))
+            log_event('news_lost', address=address, detail=str(error))
 
     def _note_lost(self, what: str, detail: str) -> None:
         if not self._was_lost:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fescuequay_core.relay.model import Configuration, LeaderRecord, MemberRecord, TargetDescription
+from fescuequay_core.relay.model import Configuration, DutyRecord, LeaderRecord, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, TargetId
 
 
@@ -46,6 +46,7 @@
     """What the coordinator answers; every age counts from when the answer was made.
 
     :param is_coordinator: Whether the instance that answers holds the duty.
+    :param duty: Newest row of the duty that it knows.
     :param records: Newest leader records.
     :param record_age_s: Since when they are known to be the newest.
     :param members: Instances that share the limits.
@@ -57,6 +58,7 @@
     """
 
     is_coordinator: bool
+    duty: DutyRecord | None = None
     records: tuple[LeaderRecord, ...] = ()
     record_age_s: float = 0.0
     members: tuple[MemberRecord, ...] = ()
@@ -93,7 +95,9 @@
 class News:
     """Something changed; the receiver exchanges at once.
 
-    :param configuration: A configuration for a coordinator that holds an older one.
+    :param configuration: A configuration for an instance that holds an older one.
+    :param duty: The duty's row after it changed hands.
     """
 
     configuration: Configuration | None = None
+    duty: DutyRecord | None = None
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -25,6 +25,10 @@
 #: Least wait for a new connection, in seconds: one takes 12 ms.
 _LEAST_CONNECT_S: Final = 0.02
 
+#: Time for which no connection is asked of a target that had none left, in seconds. After a loss of power
+#: it takes targets 3 s to drop the old ones.
+_FULL_S: Final = 0.15
+
 #: When to come back after a wait for a connection that was in vain, in seconds: a few statements' time.
 _RETRY_S: Final = 0.1
 
@@ -111,6 +115,7 @@
         self._sequence = itertools.count()
         self._waiters: list[tuple[int, int, asyncio.Future[None]]] = []
         self.is_closed = False
+        self._full_until = float('-inf')
 
     def room(self) -> int:
         """:returns: Connections that are idle or may be opened."""
@@ -220,6 +225,8 @@
         return None
 
     async def _open(self, organisation: OrganisationId, until: float) -> Lease:
+        if self._board.clock() < self._full_until:
+            raise Refused(TARGET_BUSY, f'{self.target.target} had no connection left', _RETRY_S)
         if self._idle and self.open_count() > self._capacity():
             self._idle.pop(0).connection.close()
         began_at = self._board.clock()
@@ -238,6 +245,7 @@
         except Refused as refusal:
             evidence.note_answer(self._board.clock())
             if refusal.reason.promise in {Promise.TOO_MANY_CONNECTIONS, Promise.OVERLOADED}:
+                self._full_until = self._board.clock() + _FULL_S
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
         evidence.note_answer(self._board.clock())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
@@ -55,9 +55,6 @@
 _HEDGE_S: Final = 0.12
 _HEDGE_FACTOR: Final = 4.0
 
-#: Attempts of one read that may be under way at a time.
-_MOST_ATTEMPTS: Final = 2
-
 #: Silence of a target's connection that counts as a sign of trouble at the target, in seconds.
 _SILENCE_S: Final = 0.5
 
@@ -294,19 +291,30 @@
         """Read, and read again elsewhere when the first target stays silent; reads may run twice."""
         tried: set[TargetId] = set()
         pending: set[asyncio.Task[tuple[Outcome, Placed]]] = set()
+        for limit_s in (self._hedge_s(work), work.route.timeout_s):
+            pending.add(self._spawn(self._read_once(work, request, statement, shape, tried)))
+            outcome, pending = await self._first(pending, min(self._board.clock() + limit_s, work.until))
+            if outcome is not None:
+                return outcome
+        raise Refused(refusals.TIMED_OUT, f'no target answered in {work.route.timeout_s:.2f} s')
+
+    async def _first(
+        self, pending: set[asyncio.Task[tuple[Outcome, Placed]]], until: Instant
+    ) -> tuple[tuple[Outcome, Placed] | None, set[asyncio.Task[tuple[Outcome, Placed]]]]:
+        """Wait for the first attempt that is served; an attempt that fails leaves it to the others.
+
+        :raises Refused: Every attempt has failed.
+        """
         while True:
-            if len(pending) < _MOST_ATTEMPTS:
-                pending.add(self._spawn(self._read_once(work, request, statement, shape, tried)))
-            limit_s = max(work.until - self._board.clock(), 0)
-            hedge_s = min(limit_s, self._hedge_s(work)) if len(pending) < _MOST_ATTEMPTS else limit_s
-            done, pending = await asyncio.wait(pending, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED)
-            served = [task for task in done if task.exception() is None]
-            if served:
-                return served[0].result()
+            left_s = max(until - self._board.clock(), 0)
+            done, pending = await asyncio.wait(pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if task.exception() is None:
+                    return task.result(), pending
             if done and not pending:
-                return done.pop().result()
-            if self._board.clock() >= work.until:
-                raise Refused(refusals.TIMED_OUT, f'no target answered in {work.route.timeout_s:.2f} s')
+                return done.pop().result(), pending
+            if self._board.clock() >= until:
+                return None, pending
 
     async def _read_once(
         self, work: Work, request: RequestId, statement: Statement, shape: tuple[str, bool] | None, tried: set[TargetId]
@@ -377,12 +385,13 @@
         return work.began_at + work.route.aim_s * _SHORT_SHARE
 
     async def _choose_reader(self, work: Work, tried: set[TargetId]) -> Choice:
+        latest = work.began_at + work.route.timeout_s * _READ_SHARE
         while True:
             now = self._board.clock()
             choice = self._best_reader(work, tried, now)
             if choice is not None:
                 return choice
-            if now >= work.began_at + work.route.timeout_s * _READ_SHARE:
+            if now >= min(self._patience_until(work, self._board.leader(work.route.service), now), latest):
                 raise Refused(refusals.NO_TARGET, f'no target of {work.route.service} can run the read', _RETRY_READ_S)
             await self._board.changed(_BUSY_PAUSE_S if tried else _RECHECK_S)
             tried.clear()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -39,6 +39,9 @@
 #: Organisation that targets are told on open routes, whose callers may have none.
 _NOBODY: Final = OrganisationId('-')
 
+#: Least time to come back after for want of a token, in seconds: a few exchanges with the coordinator.
+_RETRY_TOKEN_S: Final = 0.05
+
 #: When to come back after a transaction could not begin, in seconds: several statements' time.
 _RETRY_S: Final = 0.2
 
@@ -238,20 +241,21 @@
 
     async def _take_token(self, organisation: OrganisationId, until: Instant) -> None:
         board = self._board
-        taken = board.buckets.take(organisation, board.clock())
-        if taken is Take.TAKEN:
-            return
+        taken, wait_s = board.buckets.take(organisation, board.clock(), until - board.clock())
         board.buckets.wait(organisation, 1)
         try:
             while taken is Take.ASK and board.clock() < until:
                 board.changes.on_next('demand')
                 await board.changed(until - board.clock())
-                taken = board.buckets.take(organisation, board.clock(), is_retry=True)
+                now = board.clock()
+                taken, wait_s = board.buckets.take(organisation, now, until - now, is_retry=True)
         finally:
             board.buckets.wait(organisation, -1)
         if taken is not Take.TAKEN:
-            retry_s = board.buckets.dry_for_s(organisation, board.clock())
-            raise Refused(refusals.RATE_EXCEEDED, f'{organisation} has used its rate', retry_s)
+            detail = f'{organisation} has used its rate'
+            raise Refused(refusals.RATE_EXCEEDED, detail, max(wait_s, _RETRY_TOKEN_S))
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
 
     def _keep(self, statement: Statement) -> None:
         if statement.kind is StatementKind.SET:
