Pool the even parts of rates where no coordinator is reached, and call the store less

Change: the first instance by name that answers stands in with a token pool of the parts left to it; a part is left to one instance at a time. An answer of a coordinator with a valid lease counts as a path outside; the path is sought apart from the table's slow calls. Feeds wait 4 s (2 s before); the coordinator probes a primary only when its own traffic shows nothing for 0.4 s.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -9,6 +9,22 @@
     When permits are collected from a member whose connections are refused
     Then the promoter waits until its permit has surely ended
 
+  Scenario: On a calm day every instance stays ready, also beside the coordinator
+    Given 9 instances in virtual time
+    When a calm 10 s go by
+    Then every instance is ready all the while
+
+  Scenario: An instance that reaches nothing outside its data centre asks for no more callers
+    Given 9 instances in virtual time
+    When a data centre is cut off for 6 s
+    Then its instances are unready within 2 s, and ready again within 2 s of the end
+    And the instances elsewhere stay ready
+
+  Scenario: A silent table alone makes no instance unready
+    Given 9 instances in virtual time
+    When the table is silent for 6 s
+    Then every instance is ready all the while
+
   Scenario Outline: A primary <seen>
     When the coordinator sees <own> and the others see <others>
     Then the primary is judged <finding>
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -17,6 +17,7 @@
 from fescuequay_core.types import InstanceId, LeaderState, OrganisationId, Role, ServiceId, TargetId
 from fescuequay_emulator.callers import Session
 from fescuequay_emulator.load import write
+from fescuequay_emulator.table import StoreFaults
 from fescuequay_emulator.world import Plan, World
 
 _OBSERVATIONS = {
@@ -83,6 +84,71 @@
     assert change.at - context.began_at >= PERMIT_S, change.at - context.began_at
 
 
+@given('{count:d} instances in virtual time')
+def step_instances(context: Any, count: int) -> None:
+    context.relay = World(Plan(instances=count), 11)
+
+
+def _watch_readiness(context: Any, seconds: float, begin: Any, end: Any) -> None:
+    """Note for each instance when it was unready, in seconds from the beginning."""
+    world: World = context.relay
+    context.unready = {}
+
+    async def story(_: World) -> None:
+        await world.begin()
+        began_at = world.loop.time()
+        finish = begin(world)
+        while world.loop.time() < began_at + seconds + 4:
+            if finish is not None and world.loop.time() >= began_at + seconds:
+                end(world, finish)
+                finish = None
+            for name, instance in world.instances.items():
+                if not instance.is_ready():
+                    context.unready.setdefault(name, []).append(world.loop.time() - began_at)
+            await asyncio.sleep(0.1)
+
+    world.run(story)
+
+
+@when('a calm {seconds:g} s go by')
+def step_pass(context: Any, seconds: float) -> None:
+    _watch_readiness(context, seconds, lambda _: None, None)
+
+
+@when('a data centre is cut off for {seconds:g} s')
+def step_cut(context: Any, seconds: float) -> None:
+    _watch_readiness(context, seconds, lambda world: world.cut_zone('east'), lambda _, heal: heal())
+
+
+@when('the table is silent for {seconds:g} s')
+def step_silent(context: Any, seconds: float) -> None:
+    def begin(world: World) -> bool:
+        world.store.faults = StoreFaults(is_silent=True)
+        return True
+
+    def end(world: World, _: bool) -> None:
+        world.store.faults = StoreFaults()
+
+    _watch_readiness(context, seconds, begin, end)
+
+
+@then('every instance is ready all the while')
+def step_ready(context: Any) -> None:
+    assert not context.unready, context.unready
+
+
+@then('its instances are unready within 2 s, and ready again within 2 s of the end')
+def step_unready(context: Any) -> None:
+    for name in ('n2', 'n6'):
+        assert min(context.unready[name]) <= 2.0, context.unready[name][:3]
+        assert max(context.unready[name]) <= 8.0, context.unready[name][-3:]
+
+
+@then('the instances elsewhere stay ready')
+def step_elsewhere(context: Any) -> None:
+    assert set(context.unready) == {'n2', 'n6'}, set(context.unready)
+
+
 @when('the coordinator sees {own} and the others see {others}')
 def step_observe(context: Any, own: str, others: str) -> None:
     context.finding = judge(_OBSERVATIONS[own], [_OBSERVATIONS[name] for name in others.split(' ')])
--- a/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
@@ -1,4 +1,7 @@
-"""The coordinator's token buckets: one for each organisation's rate and burst over all instances."""
+"""Token buckets of one instance for those that leave their even parts to it: the coordinator, or a stand-in.
+
+An instance leaves its part to one other at a time, so the pools of several never hold the same part.
+"""
 
 import dataclasses
 from collections.abc import Mapping
@@ -25,7 +28,7 @@
     Instances out of touch live on their even part of the rate, so the bucket fills and holds only the
     parts of those that were heard from lately.
 
-    :param began_at: When this coordinator took over; every bucket begins empty.
+    :param began_at: When this instance started; every bucket begins empty.
     """
 
     def __init__(self, began_at: Instant) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -30,6 +30,9 @@
 #: Age up to which another instance's observation counts, in seconds: four exchanges.
 _OBSERVATION_S: Final = 1.6
 
+#: Age up to which a position from traffic makes a probe needless, in seconds; reads accept 1.5 s and more.
+_FRESH_S: Final = 0.4
+
 #: Time within which an answer shows that a primary is reached, in seconds.
 ANSWERED_S: Final = 1.0
 
@@ -58,6 +61,7 @@
         self._records = records
         self._controls = controls
         self._replacement = replacement
+        self._began_at = board.clock()
         self._pool = TokenPool(board.clock())
         self._observations: dict[InstanceId, tuple[Instant, ExchangeRequest]] = {}
         self._tasks_by_service: dict[ServiceId, asyncio.Task[None]] = {}
@@ -97,7 +101,8 @@
         board = self._board
         now = board.clock()
         if not board.duty.holds(now):
-            return ExchangeAnswer(is_coordinator=False, duty=board.duty.record)
+            # Instances that reach no coordinator pool their even parts at one of them.
+            return ExchangeAnswer(is_coordinator=False, duty=board.duty.record, tokens=self._supply(request, now))
         member = request.member
         if board.members_by_id.get(member.instance) != member:
             board.members_by_id[member.instance] = member
@@ -105,14 +110,13 @@
         self._observations[member.instance] = (now, request)
         configuration = board.configuration
         held = configuration.version if configuration else -1
-        wanted = {OrganisationId(name): count for name, count in request.wanted.items()}
         return ExchangeAnswer(
             is_coordinator=True,
             duty=board.duty.record,
             records=board.permits.records(),
             record_age_s=board.permits.oldest_age_s(now) if board.permits.records() else 0.0,
             members=tuple(board.members_by_id.values()),
-            tokens=self._give(member.instance, wanted, now),
+            tokens=self._supply(request, now),
             samples=dict(self._samples(now)),
             configuration=configuration if configuration and held > request.configuration_version else None,
             configuration_version=held,
@@ -120,10 +124,8 @@
         )
 
     def take_own_part(self, now: Instant) -> None:
-        """Give the coordinator's own instance the tokens that it needs."""
+        """Give this instance the tokens that it needs, from the parts that were left to it."""
         buckets = self._board.buckets
-        if not self._board.duty.holds(now):
-            return
         buckets.note_contact(now + CONTACT_S)
         for organisation, (tokens, dry_s) in self._give(self._board.own.instance, buckets.wants(now), now).items():
             buckets.receive(OrganisationId(organisation), tokens, dry_s, now)
@@ -137,12 +139,18 @@
 
     def _begin(self, token: int, now: Instant) -> None:
         self._token = token
-        self._pool = TokenPool(now)
+        self._began_at = now
         self._observations.clear()
         self._read_at = float('-inf')
         self._renewed_at = float('-inf')
         self.stop()
 
+    def _supply(self, request: ExchangeRequest, now: Instant) -> dict[str, tuple[int, float]]:
+        if not request.delegates:
+            return {}
+        wanted = {OrganisationId(name): count for name, count in request.wanted.items()}
+        return self._give(request.member.instance, wanted, now)
+
     def _give(
         self, instance: InstanceId, wanted: Mapping[OrganisationId, int], now: Instant
     ) -> dict[str, tuple[int, float]]:
@@ -166,7 +174,7 @@
 
     async def _remove_gone(self) -> None:
         now = self._board.clock()
-        if now - self._pool.began_at < _GONE_S:
+        if now - self._began_at < _GONE_S:
             return
         gone = [
             instance
@@ -196,7 +204,7 @@
             if self._board.has_targets and any(True for _ in self._board.targets_of(service)):
                 self._replace(record, 'draining' if target else 'gone', is_planned=True)
             return
-        if target.target not in self._probing:
+        if target.target not in self._probing and self._needs_probe(record, target):
             self._spawn(self._probe(record, target))
         finding = judge(self._own_observation(target), self._other_observations(record))
         is_recent = self._board.clock() < self._kept_until.get(service, float('-inf'))
@@ -230,6 +238,12 @@
             if seen is not None and seen[0] == record.target and now - heard_at < _OBSERVATION_S:
                 yield Observation(*seen[1:])
 
+    def _needs_probe(self, record: LeaderRecord, target: TargetDescription) -> bool:
+        """:returns: Whether this instance's own traffic does not show lately enough how the primary is."""
+        newest = self._board.samples.newest(record.service)
+        is_fresh = newest is not None and self._board.clock() - newest[1].at < _FRESH_S
+        return not is_fresh or self._board.evidence_of(target).failing_since is not None
+
     async def _probe(self, record: LeaderRecord, target: TargetDescription) -> None:
         self._probing.add(target.target)
         sent_at = self._board.clock()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -13,8 +13,8 @@
 Item = TypeVar('Item')
 
 #: Longest wait for a change in one call, in seconds. A connection that went silent is noticed after this and
-#: the client's own limit, which together stay below the time in which a configuration must be in force.
-WAIT_S: Final = 2.0
+#: the client's own second; peers relay a newer configuration meanwhile. Half the calls of a wait of 2 s.
+WAIT_S: Final = 4.0
 
 #: Pause after a failed call, in seconds; varied by a factor of two, so that instances do not call in step.
 _PAUSE_S: Final = 0.3
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -5,10 +5,9 @@
 import random
 from typing import Final
 
-from fescuequay_core.relay.buckets import CONTACT_S
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.model import LogPosition, MemberRecord
-from fescuequay_core.types import Instant, LeaderState, OrganisationId, ServiceId, TargetId, Term
+from fescuequay_core.types import Instant, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.coordinator import ROUND_S, Coordinator, observe
 from fescuequay_entry.relay.messages import (
@@ -21,6 +20,7 @@
 from fescuequay_entry.relay.ports import PeerError, Peers, TableError
 from fescuequay_entry.relay.records import DutyLost, Records
 from fescuequay_entry.relay.replacement import drain_writes
+from fescuequay_entry.relay.supply import Supply
 
 #: Least time between two exchanges that demand asked for, in seconds: twenty of them cost the coordinator a
 #: hundredth of a processor for each instance.
@@ -32,6 +32,9 @@
 #: Age of relayed confirmations from which this instance reads the table itself, in seconds. Three renewals.
 _STALE_S: Final = 2.0
 
+#: Time without any answer from outside after which this instance asks around, in seconds: an exchange and a bit.
+_QUIET_S: Final = 0.45
+
 #: Longest random delay before the duty is taken over, in seconds, so that few instances try at once.
 _SPREAD_S: Final = 0.12
 
@@ -51,6 +54,7 @@
         self._peers = peers
         self._coordinator = coordinator
         self._urgent = asyncio.Event()
+        self._supply = Supply(board, peers, coordinator, self._request)
         self._is_registered = False
         self._was_lost = False
         self._table_at: Instant = board.clock()
@@ -60,13 +64,7 @@
 
     async def run(self) -> None:
         """Keep in touch for ever."""
-        while True:
-            began_at = self._board.clock()
-            try:
-                await self._round()
-            except (TableError, DutyLost) as error:
-                self._note_lost(type(error).__name__, str(error))
-            await self._pause(began_at)
+        await asyncio.gather(self._keep_in_touch(), self._keep_path(), self._supply.run())
 
     def answer_exchange(self, request: ExchangeRequest) -> ExchangeAnswer:
         """:returns: The coordinator's answer to a peer."""
@@ -109,6 +107,15 @@
         if subject == 'demand':
             self._urgent.set()
 
+    async def _keep_in_touch(self) -> None:
+        while True:
+            began_at = self._board.clock()
+            try:
+                await self._round()
+            except (TableError, DutyLost) as error:
+                self._note_lost(type(error).__name__, str(error))
+            await self._pause(began_at)
+
     async def _pause(self, began_at: Instant) -> None:
         """Wait for the next round, or for a shorter while when an operation needs a token now."""
         left_s = began_at + ROUND_S - self._board.clock()
@@ -133,11 +140,7 @@
         if duty.record is not None and duty.record.instance and await self._exchange(duty.record.address):
             if board.permits.oldest_age_s(board.clock()) < _STALE_S or not board.permits.records():
                 return
-        asking = asyncio.ensure_future(self._ask_another())
-        try:
-            await self._records.read()
-        finally:
-            await asking
+        await self._records.read()
         self._table_at = board.clock()
         if board.own.instance not in board.members_by_id:
             await self._records.register()
@@ -146,14 +149,18 @@
             await self._take_duty()
 
     async def _act(self) -> None:
-        """Coordinate; while the table does not answer, ask around whether another instance took over."""
-        board = self._board
         try:
             await self._coordinator.round()
-            self._table_at = board.clock()
+            self._table_at = self._board.clock()
         finally:
-            self._coordinator.take_own_part(board.clock())
-            if not board.duty.holds(board.clock()):
+            if self._board.duty.holds(self._board.clock()):
+                self._supply.serve_own()
+
+    async def _keep_path(self) -> None:
+        """While neither the table nor the coordinator answers, ask around who else does."""
+        while True:
+            await asyncio.sleep(ROUND_S)
+            if self.isolated_s() > _QUIET_S:
                 await self._ask_another()
 
     async def _take_duty(self) -> None:
@@ -170,7 +177,8 @@
         others = self._others()
         far = [member for member in others if member.data_centre != self._board.own.data_centre]
         if far or others:
-            await self._exchange(random.choice(far or others).address)  # noqa: S311 -- spreads calls, no secret
+            chosen = random.choice(far or others)  # noqa: S311 -- spreads calls, no secret
+            await self._exchange(chosen.address, is_probe=True)
 
     def _others(self) -> list[MemberRecord]:
         own = self._board.own.instance
@@ -180,13 +188,14 @@
         """Note that a peer answered; one of another data centre shows a path out of this one."""
         centres = {member.address: member.data_centre for member in self._others()}
         if centres.get(address) != self._board.own.data_centre or len(set(centres.values())) <= 1:
-            self._heard_at = at
+            self._heard_at = max(self._heard_at, at)
 
-    async def _exchange(self, address: str) -> bool:
+    async def _exchange(self, address: str, *, is_probe: bool = False) -> bool:
         """:returns: Whether the coordinator answered."""
         began_at = self._board.clock()
+        delegates = not is_probe and self._supply.delegate(address, began_at)
         try:
-            answer = await self._peers.exchange(address, self._request(began_at))
+            answer = await self._peers.exchange(address, self._request(began_at, delegates))
         except PeerError as error:
             self._note_lost('coordinator', str(error))
             return False
@@ -195,13 +204,18 @@
             self._board.duty.learn(answer.duty, began_at)
         if not answer.is_coordinator:
             return False
+        # A coordinator that holds its lease has just renewed it in the table, so there is a path outside.
+        self._heard_at = max(self._heard_at, began_at)
         if self._was_lost:
             self._was_lost = False
             log_event('coordinator_regained', address=address)
         self._take(answer, began_at)
+        if delegates:
+            self._supply.take(answer, began_at)
+            self._supply.supplied_at = began_at
         return True
 
-    def _request(self, now: Instant) -> ExchangeRequest:
+    def _request(self, now: Instant, delegates: bool) -> ExchangeRequest:  # noqa: FBT001 -- one meaning, one call
         board = self._board
         own = board.own
         observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]] = {}
@@ -216,7 +230,8 @@
             board.configuration.version if board.configuration else -1,
             not board.has_targets,
             observations,
-            {str(name): count for name, count in board.buckets.wants(now).items()},
+            {str(name): count for name, count in board.buckets.wants(now).items()} if delegates else {},
+            delegates,
         )
 
     def _take(self, answer: ExchangeAnswer, began_at: Instant) -> None:
@@ -233,10 +248,6 @@
             for target in answer.targets:
                 board.targets_by_id.setdefault(target.target, target)
             board.changes.on_next('targets')
-        board.buckets.note_contact(began_at + CONTACT_S)
-        for name, (tokens, dry_s) in answer.tokens.items():
-            board.buckets.receive(OrganisationId(name), tokens, dry_s, began_at)
-        board.changes.on_next('tokens')
         for service, note in answer.samples.items():
             position = LogPosition(Term(note.position_term), note.number)
             known = board.permits.record(ServiceId(service))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -16,6 +16,7 @@
     :param observations: For each service: target, seconds since its first failure, whether it refuses
         connections, whether it answered lately, and whether another target of the service did.
     :param wanted: Tokens that it asks for, by organisation.
+    :param delegates: Whether it leaves its even part of the limits to the receiver for a while.
     """
 
     member: MemberRecord
@@ -23,6 +24,7 @@
     needs_targets: bool
     observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]]
     wanted: dict[str, int]
+    delegates: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
