--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -0,0 +1,128 @@
+"""The command line of the experiment tool."""
+
+import dataclasses
+import logging
+import pathlib
+import statistics
+import sys
+from typing import Any
+
+import click
+import msgspec
+
+from fescuequay_emulator import experiments, scenarios
+from fescuequay_emulator.experiments import Setting
+from fescuequay_emulator.scenarios import Figures
+from fescuequay_entry import logs
+
+_SCENARIO = click.Path(path_type=pathlib.Path, exists=True, dir_okay=False)
+
+
+def _parsed(texts: tuple[str, ...]) -> tuple[Setting, ...]:
+    """Read settings like ``fescuequay_core.relay.permits:PERMIT_S=3``."""
+    settings = []
+    for text in texts:
+        place, _, number = text.partition('=')
+        module, _, name = place.partition(':')
+        if not (module and name and number):
+            raise click.BadParameter(f'{text!r} is not like module:NAME=number')
+        settings.append(Setting(module, name, float(number)))
+    return tuple(settings)
+
+
+def _told(figures: Figures, *, as_json: bool) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(dataclasses.asdict(figures)).decode())
+        return
+    share = figures.served / max(figures.asked, 1)
+    reasons = ', '.join(f'{name} {count}' for name, count in sorted(figures.refused.items())) or 'none'
+    click.echo(
+        f'served {figures.served} of {figures.asked} ({share:.1%}), replica share {figures.replica_share:.2f}, '
+        f'longest write gap {figures.write_gap_s:.2f} s, median {figures.median_s * 1000:.0f} ms, '
+        f'table calls {figures.store_calls}; refusals: {reasons}'
+    )
+    for broken in figures.broken:
+        click.echo(f'BROKEN {broken.promise} at {broken.at:.3f} s: {broken.detail}')
+
+
+@click.group()
+def main() -> None:
+    """Play deployments of real instances in virtual time."""
+    logging.getLogger('fescuequay').setLevel(logging.CRITICAL)
+
+
+@main.command()
+@click.argument('scenario', type=_SCENARIO)
+@click.option('--seed', default=1, help='Source of all chance.')
+@click.option('--json', 'as_json', is_flag=True, help='Print figures as JSON.')
+@click.option('--log', is_flag=True, help="Print the instances' log lines.")
+def run(scenario: pathlib.Path, seed: int, *, as_json: bool, log: bool) -> None:
+    """Play SCENARIO once."""
+    if log:
+        logs.configure('info')
+        logging.getLogger('fescuequay').setLevel(logging.INFO)
+    figures = scenarios.play(scenarios.load(scenario), seed)
+    _told(figures, as_json=as_json)
+    sys.exit(1 if figures.broken else 0)
+
+
+@main.command()
+@click.argument('scenario', type=_SCENARIO)
+@click.option('--seeds', default=20, help='Number of seeds.')
+@click.option('--first', default=1, help='First seed.')
+@click.option('--set', 'texts', multiple=True, help='Constant to change, as module:NAME=number.')
+@click.option('--jobs', default=2, help='Processes at a time.')
+@click.option('--json', 'as_json', is_flag=True, help='Print figures as JSON.')
+def sweep(scenario: pathlib.Path, seeds: int, first: int, texts: tuple[str, ...], jobs: int, *, as_json: bool) -> None:
+    """Play SCENARIO on many seeds."""
+    numbers = range(first, first + seeds)
+    played = experiments.sweep(scenarios.load(scenario), numbers, _parsed(texts), jobs)
+    with click.progressbar(played, length=seeds, file=sys.stderr) as bar:
+        results = list(bar)
+    for figures in results:
+        if as_json or figures.broken:
+            _told(figures, as_json=as_json)
+    shares = [figures.served / max(figures.asked, 1) for figures in results]
+    gaps = [figures.write_gap_s for figures in results]
+    click.echo(
+        f'{seeds} seeds: served {statistics.fmean(shares):.3f} (least {min(shares):.3f}), write gap mean '
+        f'{statistics.fmean(gaps):.2f} s (most {max(gaps):.2f} s), broken on '
+        f'{sum(bool(figures.broken) for figures in results)}',
+        err=as_json,
+    )
+    sys.exit(1 if any(figures.broken for figures in results) else 0)
+
+
+@main.command()
+@click.argument('scenario', type=_SCENARIO)
+@click.option('--first', 'firsts', multiple=True, help='Constant of the first side, as module:NAME=number.')
+@click.option('--second', 'seconds', multiple=True, required=True, help='Constant of the second side.')
+@click.option('--seeds', default=20, help='Number of seeds.')
+@click.option('--jobs', default=2, help='Processes at a time.')
+def compare(scenario: pathlib.Path, firsts: tuple[str, ...], seconds: tuple[str, ...], seeds: int, jobs: int) -> None:
+    """Compare two settings on the same seeds of SCENARIO."""
+    found = experiments.compare(scenarios.load(scenario), range(1, seeds + 1), _parsed(firsts), _parsed(seconds), jobs)
+    click.echo(
+        f'served {found.first:.4f} and {found.second:.4f}; difference {found.second - found.first:+.4f}, '
+        f'95% interval {found.low:+.4f} to {found.high:+.4f}'
+    )
+
+
+@main.command()
+@click.option('--days', default=20, help='Number of schedules.')
+@click.option('--first', default=1, help='First seed.')
+def hunt(days: int, first: int) -> None:
+    """Play random schedules of faults; shrink and print what breaks a promise."""
+    caught = 0
+    with click.progressbar(length=days, file=sys.stderr) as bar:
+
+        def on_day(_seed: int, _figures: Figures) -> None:
+            bar.update(1)
+
+        for catch in experiments.hunt(range(first, first + days), on_day):
+            caught += 1
+            faults: list[Any] = [msgspec.structs.asdict(fault) for fault in catch.scenario.faults]
+            click.echo(f'\nseed {catch.seed}: {msgspec.json.encode(faults).decode()}')
+            _told(catch.figures, as_json=False)
+    click.echo(f'{days} schedules, {caught} with a broken promise')
+    sys.exit(1 if caught else 0)
--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -0,0 +1,176 @@
+"""Experiments on scenarios: many seeds, two settings compared, and a hunt that shrinks what it finds."""
+
+import dataclasses
+import importlib
+import multiprocessing
+import random
+import statistics
+import sys
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final
+
+import msgspec
+
+from fescuequay_emulator.scenarios import KINDS, Fault, Figures, Scenario, play
+
+#: Resamples of the bootstrap, and the share of them inside its interval.
+_RESAMPLES: Final = 2000
+_INSIDE: Final = 0.95
+
+#: Faults of a hunted schedule at the most.
+_MOST_FAULTS: Final = 4
+
+#: Variants that a hunted fault may have.
+_VARIANTS: Final = ('', 'dark', 'reset', 'silent', 'busy', 'some', 'slow', 'late', 'deaf', 'replicas', 'all')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """A constant of the product that an experiment changes.
+
+    :param module: Module that holds it.
+    :param name: Its name.
+    :param number: Its value in the experiment.
+    """
+
+    module: str
+    name: str
+    number: float
+
+    def apply(self) -> None:
+        """Change the constant in this process, wherever it was imported under its name."""
+        importlib.import_module(self.module)
+        for module in tuple(sys.modules.values()):
+            if getattr(module, '__name__', '').startswith('fescuequay') and hasattr(module, self.name):
+                setattr(module, self.name, self.number)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """Share of served operations with two settings on the same seeds.
+
+    :param first: Mean share with the first one.
+    :param second: Mean share with the second one.
+    :param low: Lower end of the interval of the difference.
+    :param high: Upper end.
+    """
+
+    first: float
+    second: float
+    low: float
+    high: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Catch:
+    """A schedule on which a promise was broken, with the fewest faults that still break one.
+
+    :param seed: Seed of the run.
+    :param scenario: The shrunk scenario.
+    :param figures: What came of it.
+    """
+
+    seed: int
+    scenario: Scenario
+    figures: Figures
+
+
+def _play_with(job: tuple[Scenario, int, Sequence[Setting]]) -> Figures:
+    scenario, seed, settings = job
+    for setting in settings:
+        setting.apply()
+    return play(scenario, seed)
+
+
+def sweep(
+    scenario: Scenario, seeds: Sequence[int], settings: Sequence[Setting] = (), jobs: int = 2
+) -> Iterator[Figures]:
+    """Play a scenario on many seeds, each in a fresh process.
+
+    :param scenario: The scenario.
+    :param seeds: The seeds.
+    :param settings: Constants to change.
+    :param jobs: Processes at a time.
+    :returns: Figures in the order of the seeds.
+    """
+    context = multiprocessing.get_context('spawn')
+    with context.Pool(jobs, maxtasksperchild=8) as pool:
+        yield from pool.imap(_play_with, [(scenario, seed, tuple(settings)) for seed in seeds])
+
+
+def compare(
+    scenario: Scenario, seeds: Sequence[int], first: Sequence[Setting], second: Sequence[Setting], jobs: int = 2
+) -> Comparison:
+    """Compare two settings on the same seeds by a paired bootstrap.
+
+    :param scenario: The scenario.
+    :param seeds: The seeds.
+    :param first: Constants of one side.
+    :param second: Constants of the other.
+    :param jobs: Processes at a time.
+    :returns: The shares and the interval of their difference.
+    """
+    shares = [[_share(figures) for figures in sweep(scenario, seeds, side, jobs)] for side in (first, second)]
+    differences = [later - earlier for earlier, later in zip(*shares, strict=True)]
+    chance = random.Random(len(differences))
+    means = sorted(statistics.fmean(chance.choices(differences, k=len(differences))) for _ in range(_RESAMPLES))
+    margin = int(_RESAMPLES * (1 - _INSIDE) / 2)
+    return Comparison(statistics.fmean(shares[0]), statistics.fmean(shares[1]), means[margin], means[-margin - 1])
+
+
+def hunt(seeds: Sequence[int], on_day: Callable[[int, Figures], None]) -> Iterator[Catch]:
+    """Play random schedules and shrink those on which a promise was broken.
+
+    :param seeds: One schedule each.
+    :param on_day: Told of each one.
+    :returns: What was caught.
+    """
+    for seed in seeds:
+        scenario = schedule(seed)
+        figures = play(scenario, seed)
+        on_day(seed, figures)
+        if figures.broken:
+            yield shrink(Catch(seed, scenario, figures))
+
+
+def schedule(seed: int) -> Scenario:
+    """:returns: A scenario with a random schedule of faults that may overlap."""
+    chance = random.Random(seed)
+    faults = tuple(
+        Fault(
+            at=round(chance.uniform(1, 9), 1),
+            kind=chance.choice(KINDS),
+            for_s=round(chance.uniform(1, 6), 1),
+            on=chance.choice(('0', '1', 'coordinator')),
+            how=chance.choice(_VARIANTS),
+            share=round(chance.uniform(0.1, 0.6), 2),
+        )
+        for _ in range(chance.randint(1, _MOST_FAULTS))
+    )
+    return Scenario(f'hunted {seed}', faults=tuple(map(_fitting, faults)))
+
+
+def shrink(catch: Catch) -> Catch:
+    """Drop faults for as long as a promise is still broken.
+
+    :param catch: What was caught.
+    :returns: The same with the fewest faults.
+    """
+    for fault in catch.scenario.faults:
+        kept = tuple(other for other in catch.scenario.faults if other is not fault)
+        smaller = msgspec.structs.replace(catch.scenario, faults=kept)
+        figures = play(smaller, catch.seed)
+        if figures.broken:
+            return shrink(Catch(catch.seed, smaller, figures))
+    return catch
+
+
+def _fitting(fault: Fault) -> Fault:
+    """:returns: The fault with a target or zone number where its kind wants one."""
+    if fault.on == 'coordinator' and fault.kind not in {'kill', 'stop', 'cut_instance'}:
+        return msgspec.structs.replace(fault, on='0')
+    return fault
+
+
+def _share(figures: Figures) -> float:
+    return figures.served / max(figures.asked, 1)
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -156,9 +156,9 @@
 
 
 def _instance(world: World, fault: Fault) -> str:
-    names = sorted(world.instances)
+    names = sorted(world.zones_by_instance)
     if fault.on == 'coordinator':
-        for name in names:
+        for name in sorted(world.instances):
             if world.instances[name].board.duty.holds(world.loop.time()):
                 return name
     return names[int(fault.on) % len(names)] if fault.on.isdigit() else names[0]
@@ -169,11 +169,13 @@
 
 
 async def _kill_all(world: World, fault: Fault) -> None:
-    await asyncio.gather(*(world.restart(name, fault.for_s) for name in sorted(world.instances)))
+    await asyncio.gather(*(world.restart(name, fault.for_s) for name in sorted(world.zones_by_instance)))
 
 
 async def _stop(world: World, fault: Fault) -> None:
-    await world.stop(_instance(world, fault))
+    name = _instance(world, fault)
+    if name in world.instances:
+        await world.stop(name)
 
 
 async def _crash_primary(world: World, fault: Fault) -> None:
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -266,8 +266,9 @@
         return self.loop.create_task(step(), context=context)  # type: ignore[arg-type]
 
     def kill(self, name: str) -> None:
-        """End an instance as SIGKILL does."""
-        self.instances.pop(name, None)
+        """End an instance as SIGKILL does; without effect on one that does not run."""
+        if self.instances.pop(name, None) is None:
+            return
         self.listeners.pop(name).break_off()
         self.loop.kill(name)
         for target in self.targets.values():
@@ -279,22 +280,20 @@
         """Kill an instance and start it again."""
         self.kill(name)
         await asyncio.sleep(after_s)
-        self.start_instance(name, self.zones_by_instance[name])
+        if name not in self.instances:
+            self.start_instance(name, self.zones_by_instance[name])
 
     async def stop(self, name: str) -> None:
         """Stop an instance by plan, then start it again."""
         instance = self.instances[name]
-        await self.spawn_as(name, instance.stop)
+        # A kill may come before its end.
+        await asyncio.wait({self.spawn_as(name, instance.stop)})
         await self.restart(name)
 
     def primary_of(self, service: str) -> ModelTarget:
-        """:returns: The newest primary of a service."""
-        leaders = [
-            target
-            for target in self.targets.values()
-            if target.description.service == service and target.role is Role.PRIMARY
-        ]
-        return max(leaders, key=lambda target: target.term)
+        """:returns: The newest primary of a service; while none leads, the one with the newest log."""
+        members = [target for target in self.targets.values() if target.description.service == service]
+        return max(members, key=lambda target: (target.role is Role.PRIMARY, target.term, target.position()))
 
     def make_lead(self, name: TargetId) -> None:
         """Let a target lead the next term, if it runs."""
