Let a coordinator resign that the table turns away, and count permits from when the term was closed

Change: after 0.8 s without a renewal the holder tells its peers that it acts no more, and any of them may take the duty at once; a coordinator that goes on with a closing record counts the wait from when it learnt of that record.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -52,6 +52,17 @@
       | at the end of the holder's own time | held | 1.7 | may not |
       | long unrenewed | held | 2.3 | may |
       | held by an earlier self | own | 0 | may |
+      | given up by word of its holder | resigned | 0.1 | may |
+
+  Scenario: A coordinator that the table turns away makes room for another
+    Given 9 instances in virtual time
+    When the table rejects the coordinator alone for 6 s
+    Then another instance coordinates within 1.8 s
+
+  Scenario: A coordinator that takes over a change of primary does not wait for its permits anew
+    Given 9 instances in virtual time
+    When a primary and an instance go dark, and the coordinator is killed 2 s later
+    Then the service is led again within 6.5 s
 
   Scenario: One organisation at seven times its rate over nine instances
     When 9 instances ask the token pool at 7 times a rate of 40 with a burst of 40 for 12 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -168,7 +168,9 @@
         'held': DutyRecord(InstanceId('other'), 'i', 'a:1', 4, 'n', 9),
         'own': DutyRecord(InstanceId('me'), 'before', 'a:1', 4, 'n', 9),
     }
-    duty.learn(records[row], 100.0)
+    duty.learn(records.get(row, records['held']), 100.0)
+    if row == 'resigned':
+        duty.note_resigned(4)
     context.may = duty.may_take(100.0 + age)
 
 
@@ -177,6 +179,59 @@
     assert context.may is (may == 'may'), context.may
 
 
+def _coordinator_of(world: World) -> str | None:
+    for name in sorted(world.instances):
+        if world.instances[name].board.duty.holds(world.loop.time()):
+            return name
+    return None
+
+
+@when('the table rejects the coordinator alone for 6 s')
+def step_turned_away(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        first = _coordinator_of(world)
+        world.store.faults = StoreFaults(rejected=frozenset((first or '',)))
+        began_at = world.loop.time()
+        while _coordinator_of(world) in {first, None}:
+            await asyncio.sleep(0.05)
+        context.took_s = world.loop.time() - began_at
+
+    world.run(story)
+
+
+@then('another instance coordinates within {limit:g} s')
+def step_took(context: Any, limit: float) -> None:
+    assert context.took_s <= limit, context.took_s
+
+
+@when('a primary and an instance go dark, and the coordinator is killed 2 s later')
+def step_dark(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        first = _coordinator_of(world)
+        other = next(name for name in sorted(world.instances) if name != first)
+        for place in tuple(world.network.zones_by_place):
+            world.network.cut(other, place)
+        context.began_at = world.loop.time()
+        world.primary_of('s0').crash(dark=True)
+        await asyncio.sleep(2)
+        world.kill(first or '')
+        await asyncio.sleep(10)
+        context.changes = [change for change in world.judge.changes if change.service == 's0']
+
+    world.run(story)
+
+
+@then('the service is led again within {limit:g} s')
+def step_led(context: Any, limit: float) -> None:
+    assert context.changes and context.changes[0].at - context.began_at <= limit, context.changes
+
+
 def _ask(context: Any, instances: int, factor: float, rate: float, leaver: int | None) -> None:
     """Let instances take tokens in steps of 10 ms, exchanging every 0.35 s or when an operation waits."""
     policy = OrganisationPolicy(OrganisationId('o'), rate, rate)
--- a/packages/fescuequay-core/fescuequay_core/relay/duty.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/duty.py
@@ -14,6 +14,10 @@
 #: Time between renewals, in seconds; two may fail in a row. Each renewal a second costs 0.0003 of worth.
 RENEW_S: Final = 0.5
 
+#: Time without a renewal after which the holder resigns, so that an instance that the table still answers takes
+#: over without waiting, in seconds: a renewal and a half.
+RESIGN_S: Final = 0.8
+
 #: Time without a renewal after which another instance takes over, in seconds: longer than HOLD_S by far more
 #: than clocks drift, because the holder's last act may still be on its way.
 TAKE_S: Final = 2.2
@@ -32,6 +36,7 @@
         self.record: DutyRecord | None = None
         self._seen_at: Instant = float('-inf')
         self._renewed_at: Instant = float('-inf')
+        self._resigned_token = 0
 
     def learn(self, record: DutyRecord | None, now: Instant) -> None:
         """Take in the row as it was read."""
@@ -50,6 +55,31 @@
         self._seen_at = began_at
         self._renewed_at = began_at
 
+    def note_resigned(self, token: int) -> None:
+        """Record that the holder with a token has said that it acts no more; its row stays until another takes it."""
+        self._resigned_token = max(self._resigned_token, token)
+
+    def resign(self, now: Instant) -> bool:
+        """Act no more, because the table answers others at best.
+
+        :param now: Present time.
+        :returns: Whether this instance held the duty and a renewal has failed for ``RESIGN_S``.
+        """
+        if not self.holds(now) or now - self._renewed_at < RESIGN_S:
+            return False
+        self._renewed_at = float('-inf')
+        self._resigned_token = self.token
+        return True
+
+    @property
+    def token(self) -> int:
+        """:returns: The newest known token; 0 when none is known."""
+        return self.record.token if self.record is not None else 0
+
+    def has_resigned(self) -> bool:
+        """:returns: Whether this incarnation holds the row but said that it acts no more."""
+        return self.is_own() and self.token <= self._resigned_token
+
     def is_own(self) -> bool:
         """:returns: Whether the newest known row names this incarnation."""
         return self.record is not None and self.record.incarnation == self.incarnation
@@ -65,4 +95,6 @@
             return True
         if record.instance == self.instance and record.incarnation != self.incarnation:
             return True
+        if record.token <= self._resigned_token:
+            return True
         return now - self._seen_at > TAKE_S
--- a/packages/fescuequay-core/fescuequay_core/relay/permits.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/permits.py
@@ -19,6 +19,7 @@
 class _Permit:
     record: LeaderRecord
     confirmed_at: Instant
+    learnt_at: Instant
 
 
 class Permits:
@@ -32,11 +33,12 @@
     def __init__(self) -> None:
         self._permits_by_service: dict[ServiceId, _Permit] = {}
 
-    def learn(self, record: LeaderRecord, confirmed_at: Instant) -> bool:
+    def learn(self, record: LeaderRecord, confirmed_at: Instant, now: Instant) -> bool:
         """Take in a record.
 
         :param record: The record; an older version than the known one is ignored.
         :param confirmed_at: When it was surely still the newest.
+        :param now: Present time; the table had accepted the record by then.
         :returns: Whether it replaced another version.
         """
         known = self._permits_by_service.get(record.service)
@@ -45,7 +47,7 @@
         if known is not None and record.version == known.record.version:
             known.confirmed_at = max(known.confirmed_at, confirmed_at)
             return False
-        self._permits_by_service[record.service] = _Permit(record, confirmed_at)
+        self._permits_by_service[record.service] = _Permit(record, confirmed_at, now)
         return True
 
     def confirm(self, records: Iterable[LeaderRecord], confirmed_at: Instant) -> None:
@@ -55,7 +57,7 @@
         :param confirmed_at: That moment.
         """
         for record in records:
-            self.learn(record, confirmed_at)
+            self.learn(record, confirmed_at, confirmed_at)
 
     def leader(self, service: ServiceId, now: Instant) -> LeaderRecord | None:
         """:returns: The record under which the service's primary may be used now."""
@@ -69,6 +71,13 @@
         permit = self._permits_by_service.get(service)
         return permit.record if permit else None
 
+    def learnt_at(self, record: LeaderRecord) -> Instant:
+        """:returns: A moment at which the table had surely accepted a record; infinite when it is not the newest."""
+        permit = self._permits_by_service.get(record.service)
+        if permit is None or permit.record.version != record.version:
+            return float('inf')
+        return permit.learnt_at
+
     def records(self) -> tuple[LeaderRecord, ...]:
         """:returns: The newest known record of every service."""
         return tuple(permit.record for permit in self._permits_by_service.values())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -87,7 +87,7 @@
         :param confirmed_at: When it was surely the newest.
         :param source: Where it came from.
         """
-        if self.permits.learn(record, confirmed_at):
+        if self.permits.learn(record, confirmed_at, self.clock()):
             log_event(
                 'leader_learnt',
                 service=record.service,
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -88,6 +88,8 @@
             self._board.adopt(news.configuration, 'peer')
         if news.duty is not None:
             self._board.duty.learn(news.duty, self._board.clock())
+        if news.resigned:
+            self._board.duty.note_resigned(news.resigned)
         self._urgent.set()
 
     async def leave(self) -> None:
@@ -134,7 +136,7 @@
             await self._records.register()
             self._is_registered = True
             await self._records.read()
-        if duty.is_own():
+        if duty.is_own() and not duty.has_resigned():
             await self._act()
             return
         if duty.record is not None and duty.record.instance and await self._exchange(duty.record.address):
@@ -152,10 +154,22 @@
         try:
             await self._coordinator.round()
             self._table_at = self._board.clock()
+        except TableError:
+            self._consider_resigning()
+            raise
         finally:
             if self._board.duty.holds(self._board.clock()):
                 self._supply.serve_own()
 
+    def _consider_resigning(self) -> None:
+        """Let another instance coordinate when the table does not answer this one."""
+        if not self._board.duty.resign(self._board.clock()):
+            return
+        log_event('duty_resigned', token=self._board.duty.token)
+        self._coordinator.stop()
+        for member in self._others():
+            self._send(member.address, News(resigned=self._board.duty.token))
+
     async def _keep_path(self) -> None:
         """While neither the table nor the coordinator answers, ask around who else does."""
         while True:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -99,7 +99,9 @@
 
     :param configuration: A configuration for an instance that holds an older one.
     :param duty: The duty's row after it changed hands.
+    :param resigned: Token of a coordinator that acts no more.
     """
 
     configuration: Configuration | None = None
     duty: DutyRecord | None = None
+    resigned: int = 0
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -64,7 +64,8 @@
         """
         began_at = self._board.clock()
         closing = await self._close(record, cause)
-        closed_at = self._board.clock()
+        # An earlier coordinator may have closed the term; no permit of it was given after that became known.
+        closed_at = min(self._board.clock(), self._board.permits.learnt_at(closing))
         log_event(
             'term_closing',
             service=record.service,
