--- a/packages/fescuequay-emulator/fescuequay_emulator/callers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/callers.py
@@ -54,7 +54,7 @@
     """One statement that a caller sent.
 
     :param request: Its id.
-    :param session: Number of the session.
+    :param session: Caller and connection; a session is one connection.
     :param credential: Key of the session.
     :param database: Database that the session opened.
     :param statement: The statement.
@@ -70,7 +70,7 @@
     """
 
     request: RequestId
-    session: int
+    session: tuple[int, int]
     credential: Credential
     database: DatabaseName
     statement: Statement
@@ -217,6 +217,7 @@
         self._caller: ModelCaller | None = None
         self._transaction = 0
         self._work_at = 0.0
+        self._opened = 0
 
     @property
     def is_open(self) -> bool:
@@ -229,6 +230,7 @@
         self._caller = listener.connect()
         if self._caller is None:
             return None
+        self._opened += 1
         self._caller.send(Opening(self.database, self.credential))
         answer = await self._caller.answered()
         if answer is None:
@@ -258,7 +260,7 @@
             self._work_at = loop.time()
         sent = Sent(
             RequestId(f'r{self._chance.getrandbits(48):012x}'),
-            self.number,
+            (self.number, self._opened),
             self.credential,
             self.database,
             statement,
--- a/packages/fescuequay-emulator/fescuequay_emulator/judge.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/judge.py
@@ -132,9 +132,9 @@
                     yield Broken('stale', run.at, f'{run.request} at {run.target} lacked {commit_request} of {at:.3f}')
                     break
 
-    def _acknowledged(self) -> dict[ServiceId, list[tuple[float, int, RequestId]]]:
+    def _acknowledged(self) -> dict[ServiceId, list[tuple[float, tuple[int, int], RequestId]]]:
         services_by_request = {run.request: run.service for run in self.runs}
-        result: dict[ServiceId, list[tuple[float, int, RequestId]]] = collections.defaultdict(list)
+        result: dict[ServiceId, list[tuple[float, tuple[int, int], RequestId]]] = collections.defaultdict(list)
         for sent in self.sent:
             if sent.told is Told.SERVED and self._writes(sent) and sent.request in services_by_request:
                 result[services_by_request[sent.request]].append((sent.told_at, sent.session, sent.request))
