--- a/features/platform.feature
+++ b/features/platform.feature
@@ -69,3 +69,7 @@
     When a caller writes, reads, sends malformed lines, an unknown database and an unknown key
     Then each gets its exact answer and the other sessions go on
     And the instance stops at SIGTERM within its grace with exit code 0
+
+  Scenario: A reader of the log lines that falls behind costs lines, never time
+    When 5000 lines are logged to a pipe that nobody reads
+    Then no line waited, and the first line that fits again says how many were dropped
--- a/features/real.feature
+++ b/features/real.feature
@@ -90,6 +90,7 @@
       | an unknown field            | 400    |
       | a body of 3 MB              | 413    |
       | a body that never ends      | 408    |
+      | a body declared over the limit | 413 |
       | a forged session            | 400    |
       | a foreign session           | 403    |
       | a wrong method              | 405    |
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -190,7 +190,7 @@
         environment = {**os.environ, 'FESCUEQUAY_CONFIG': str(path)}
         command = [sys.executable, str(_ROOT / 'deploy/fescuequayd.py')]
         subprocess.run([*command, '--check'], env=environment, check=True, stdout=subprocess.DEVNULL)
-        self._process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)
+        self._process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
         self._await_ready()
 
     def talk(self) -> dict[str, list[str]]:
--- a/features/steps/input_steps.py
+++ b/features/steps/input_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import time
 from typing import Any
 
 from behave import then, when
@@ -37,10 +38,10 @@
     return calls[what]
 
 
-async def _endless(address: str) -> bytes:
+async def _endless(address: str, declared: int) -> bytes:
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
-    head = f'POST /v1/{builders.WRITES}/statements HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n'
+    head = f'POST /v1/{builders.WRITES}/statements HTTP/1.1\r\nHost: x\r\nContent-Length: {declared}\r\n'
     writer.write(f'{head}Authorization: Bearer {builders.key_of("acme")}\r\n\r\n{{"sql"'.encode())
     answer = await reader.read(4096)
     writer.close()
@@ -49,8 +50,12 @@
 
 @when('i1 is sent {what}')
 def step_hostile(context: Any, what: str) -> None:
-    if what == 'a body that never ends':
-        raw = context.world.run(_endless(context.world.fleet.instances_by_name['i1'].callers))
+    declared = {'a body that never ends': 100, 'a body declared over the limit': 3_000_000}.get(what)
+    if declared is not None:
+        address = context.world.fleet.instances_by_name['i1'].callers
+        began_at = time.monotonic()
+        raw = context.world.run(_endless(address, declared))
+        assert declared == 100 or time.monotonic() - began_at < 0.5, 'the refusal waited for the body'
         found = re.match(rb'HTTP/1.1 (\d+)', raw)
         assert found is not None, raw
         body = json.loads(raw.split(b'\r\n\r\n', 1)[1])
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,9 @@
 """Steps about the platform's adapters."""
 
+import contextlib
 import json
+import logging
+import os
 import pathlib
 import re
 from typing import Any
@@ -11,6 +14,7 @@
 from hypothesis import strategies as st
 
 from features import relay_processes
+from fescuequay_entry import logs
 from fescuequay_platform import rows, statements
 from fescuequay_platform.codec import LineDecoder, Message, WireError
 
@@ -161,6 +165,35 @@
     assert not found, found
 
 
+@when('{count:d} lines are logged to a pipe that nobody reads')
+def step_log(context: Any, count: int) -> None:
+    reader, writer = os.pipe()
+    handler = logs.BoundedHandler(writer)
+    handler.setFormatter(logs.KeyValueFormatter())
+    record = logging.LogRecord('x', logging.INFO, '', 0, 'served', None, None)
+    for _ in range(count):
+        handler.emit(record)
+    context.dropped = handler.dropped
+    raw = b''
+    os.set_blocking(reader, False)
+    for _ in range(8):
+        with contextlib.suppress(BlockingIOError):
+            raw += os.read(reader, 1 << 20)
+        handler.emit(record)
+    context.raw = raw
+    os.close(reader)
+    os.close(writer)
+
+
+@then('no line waited, and the first line that fits again says how many were dropped')
+def step_dropped(context: Any) -> None:
+    assert context.dropped > 0
+    lines = context.raw.decode().splitlines()
+    (told,) = [line for line in lines if 'log_lines_dropped' in line]
+    assert f'count={context.dropped}' in told, (told, context.dropped)
+    assert all(line.startswith(('time=', 'level=')) for line in lines), 'a line was cut'
+
+
 @given("a real instance with the platform's adapters before stand-ins of the platform and its databases")
 def step_real(context: Any) -> None:
     context.world = relay_processes.Deployment()
--- a/packages/fescuequay-entry/fescuequay_entry/callers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/callers.py
@@ -188,6 +188,10 @@
         return web.Response(text=text, content_type='application/json')
 
     async def _body(self, request: web.Request, kind: type[Any]) -> Any:
+        declared = request.content_length or 0
+        if declared > self._settings.max_body_bytes:
+            # The body is refused before it is sent; waiting for it would only hold the caller up.
+            raise web.HTTPRequestEntityTooLarge(self._settings.max_body_bytes, declared)
         try:
             async with asyncio.timeout(self._settings.body_timeout_s):
                 raw = await request.read()
--- a/packages/fescuequay-standins/fescuequay_standins/group.py
+++ b/packages/fescuequay-standins/fescuequay_standins/group.py
@@ -188,6 +188,8 @@
         """Close everything."""
         for task in self._tasks:
             task.cancel()
+        # The copying must have ended before the files that it writes are closed and removed.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for member in self.members_by_name.values():
             await member.close()
 
