--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -11,6 +11,7 @@
 from fescuequay_core.relay.duty import Duty
 from fescuequay_core.relay.evidence import TargetEvidence
 from fescuequay_core.relay.model import Credential, DatabaseName, DutyRecord, OrganisationPolicy, TargetDescription
+from fescuequay_core.relay.pace import contact_s
 from fescuequay_core.relay.permits import PERMIT_S
 from fescuequay_core.relay.suspicion import Observation, judge
 from fescuequay_core.relay.tokenpool import TokenPool
@@ -248,7 +249,7 @@
             is_away = number == leaver and now > 4
             if not is_away and (step % 35 == number or step % 3 == 0):
                 pool.note_heard(InstanceId(str(number)), now)
-                each.note_contact(now + 0.9)
+                each.note_contact(now + contact_s(instances))
                 for organisation, (tokens, dry_s) in pool.give(each.wants(now), policies, instances, now).items():
                     each.receive(organisation, tokens, dry_s, now)
             owed = factor * rate / instances
--- a/packages/fescuequay-core/fescuequay_core/relay/buckets.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/buckets.py
@@ -7,17 +7,14 @@
 from typing import Final
 
 from fescuequay_core.relay.model import Configuration, OrganisationPolicy
+from fescuequay_core.relay.pace import round_s
 from fescuequay_core.types import Instant, OrganisationId
 
-#: Time after an exchange, counted from its request, for which the coordinator alone gives tokens, in seconds.
-#: Two exchanges and a half; afterwards this instance lives on its even part of the rate.
-CONTACT_S: Final = 0.9
-
 #: Time for which tokens of the coordinator may be used, in seconds. It bounds what a silent instance takes along.
 _STOCK_S: Final = 2.0
 
-#: Demand that the stock covers, in seconds: most of the time until this instance may live on its even part.
-_COVER_S: Final = 0.6
+#: Demand that the stock covers, in exchanges: most of the time until this instance may live on its even part.
+_COVER_ROUNDS: Final = 1.7
 
 #: Weight of the latest interval in the smoothed demand.
 _DEMAND_WEIGHT: Final = 0.4
@@ -113,6 +110,7 @@
         :param now: Present time.
         :returns: Tokens that this instance asks for, by organisation.
         """
+        cover_s = _COVER_ROUNDS * round_s(self._members or 1)
         passed_s = now - self._reviewed_at if self._reviewed_at is not None else 1.0
         is_due = passed_s >= _LEAST_INTERVAL_S
         if is_due:
@@ -120,10 +118,10 @@
         wanted: dict[OrganisationId, int] = {}
         for organisation, stock in self._stocks_by_organisation.items():
             if is_due:
-                weight = min(_DEMAND_WEIGHT * passed_s / _COVER_S, 1)
+                weight = min(_DEMAND_WEIGHT * passed_s / cover_s, 1)
                 stock.demand_per_s += weight * (stock.asked / passed_s - stock.demand_per_s)
                 stock.asked = 0
-            cover = stock.demand_per_s * _COVER_S if stock.demand_per_s >= _LEAST_DEMAND_PER_S else 0.0
+            cover = stock.demand_per_s * cover_s if stock.demand_per_s >= _LEAST_DEMAND_PER_S else 0.0
             if stock.until <= now:
                 stock.tokens = 0.0
             missing = math.ceil(max(cover, stock.waiting) - stock.tokens)
--- a/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
@@ -7,8 +7,8 @@
 from collections.abc import Mapping
 from typing import Final
 
-from fescuequay_core.relay.buckets import CONTACT_S
 from fescuequay_core.relay.model import OrganisationPolicy
+from fescuequay_core.relay.pace import contact_s
 from fescuequay_core.types import InstanceId, Instant, OrganisationId
 
 #: Time by which the coordinator stops counting on an instance before the instance itself does, in seconds:
@@ -42,7 +42,7 @@
 
     def share(self, members: int, now: Instant) -> float:
         """:returns: Part of each limit that this coordinator may give out."""
-        oldest = now - (CONTACT_S - _MARGIN_S)
+        oldest = now - (contact_s(members) - _MARGIN_S)
         in_touch = sum(heard_at > oldest for heard_at in self._heard_at.values())
         return min(in_touch / max(members, 1), 1.0)
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import logging
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -129,6 +130,11 @@
                 continue
             yield target, is_leader
 
+    def members_digest(self) -> str:
+        """:returns: Short digest of the known instances and their incarnations."""
+        names = sorted(f'{member.instance}/{member.incarnation}' for member in self.members_by_id.values())
+        return hashlib.blake2b('\n'.join(names).encode(), digest_size=6).hexdigest()
+
     def member_count(self) -> int:
         """:returns: Instances that share limits; at least this one."""
         return max(len(self.members_by_id), 1)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -4,10 +4,10 @@
 from collections.abc import Coroutine, Iterator, Mapping
 from typing import Any, Final
 
-from fescuequay_core.relay.buckets import CONTACT_S
 from fescuequay_core.relay.duty import RENEW_S
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription, TargetReport
+from fescuequay_core.relay.pace import contact_s, round_s
 from fescuequay_core.relay.suspicion import Finding, Observation, judge
 from fescuequay_core.relay.tokenpool import TokenPool
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
@@ -18,17 +18,14 @@
 from fescuequay_entry.relay.records import DutyLost, Records
 from fescuequay_entry.relay.replacement import Replacement
 
-#: Time between two rounds of the coordinator, in seconds.
-ROUND_S: Final = 0.35
-
 #: Time between two reads of the whole table by the coordinator, in seconds; instances rarely come and go.
 _READ_S: Final = 3.0
 
 #: Time without a request after which an instance's row is removed, in seconds: beyond the cuts of a day.
 _GONE_S: Final = 12.0
 
-#: Age up to which another instance's observation counts, in seconds: four exchanges.
-_OBSERVATION_S: Final = 1.6
+#: Exchanges for which another instance's observation counts.
+_OBSERVATION_ROUNDS: Final = 4.5
 
 #: Age up to which a position from traffic makes a probe needless, in seconds; reads accept 1.5 s and more.
 _FRESH_S: Final = 0.4
@@ -108,6 +105,7 @@
             board.members_by_id[member.instance] = member
             board.buckets.set_members(board.member_count())
         self._observations[member.instance] = (now, request)
+        known = board.members_digest()
         configuration = board.configuration
         held = configuration.version if configuration else -1
         return ExchangeAnswer(
@@ -115,7 +113,8 @@
             duty=board.duty.record,
             records=board.permits.records(),
             record_age_s=board.permits.oldest_age_s(now) if board.permits.records() else 0.0,
-            members=tuple(board.members_by_id.values()),
+            members=() if request.members == known else tuple(board.members_by_id.values()),
+            members_digest=known,
             tokens=self._supply(request, now),
             samples=dict(self._samples(now)),
             configuration=configuration if configuration and held > request.configuration_version else None,
@@ -126,7 +125,7 @@
     def take_own_part(self, now: Instant) -> None:
         """Give this instance the tokens that it needs, from the parts that were left to it."""
         buckets = self._board.buckets
-        buckets.note_contact(now + CONTACT_S)
+        buckets.note_contact(now + contact_s(self._board.member_count()))
         for organisation, (tokens, dry_s) in self._give(self._board.own.instance, buckets.wants(now), now).items():
             buckets.receive(OrganisationId(organisation), tokens, dry_s, now)
         self._board.changes.on_next('tokens')
@@ -233,9 +232,10 @@
 
     def _other_observations(self, record: LeaderRecord) -> Iterator[Observation]:
         now = self._board.clock()
+        oldest = now - _OBSERVATION_ROUNDS * round_s(self._board.member_count())
         for heard_at, request in self._observations.values():
             seen = request.observations.get(record.service)
-            if seen is not None and seen[0] == record.target and now - heard_at < _OBSERVATION_S:
+            if seen is not None and seen[0] == record.target and heard_at > oldest:
                 yield Observation(*seen[1:])
 
     def _needs_probe(self, record: LeaderRecord, target: TargetDescription) -> bool:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -35,11 +35,8 @@
 #: Time between two sweeps of idle connections and doubtful targets, in seconds.
 _SWEEP_S: Final = 0.5
 
-#: Time without any answer from outside the data centre from which an instance asks for no more callers, in
-#: seconds: three exchanges. A silent table alone does not count, since no other instance would be better off.
-_ISOLATED_S: Final = 1.1
-
-#: Time after which its idle sessions are closed, in seconds: the balancer needs two questions a second apart.
+#: Time after which the idle sessions of an instance that is cut off are closed, in seconds: the balancer
+#: needs two questions a second apart.
 _MOVE_S: Final = 1.8
 
 #: Gap between the steady and the boot clock that shows that the machine was suspended, in seconds.
@@ -122,6 +119,7 @@
         self._target_follower = TargetFollower(self.board, adapters.targets)
         self._configuration_follower = ConfigurationFollower(self.board, adapters.configurations)
         self._sessions: set[Session] = set()
+        self._isolated_at = clock()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -168,7 +166,7 @@
         """:returns: Whether new callers should come here."""
         if self.board.is_stopping or self.board.configuration is None or not self.board.has_targets:
             return False
-        return self.membership.isolated_s() < _ISOLATED_S
+        return not self.membership.is_isolated()
 
     async def _serve_caller(self, caller: CallerConnection) -> None:
         session = Session(self.board, self._runner, self.metrics, caller)
@@ -195,7 +193,10 @@
 
     def _move_callers(self) -> None:
         """Cut off from everything outside, close idle sessions, so that callers come back at other instances."""
-        if self.membership.isolated_s() < _ISOLATED_S + _MOVE_S:
+        now = self.board.clock()
+        if not self.membership.is_isolated():
+            self._isolated_at = now
+        if now - self._isolated_at < _MOVE_S:
             return
         closed = sum(session.close_if_idle() for session in tuple(self._sessions))
         if closed:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -7,9 +7,10 @@
 
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.model import LogPosition, MemberRecord
+from fescuequay_core.relay.pace import round_s, urgent_s
 from fescuequay_core.types import Instant, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
-from fescuequay_entry.relay.coordinator import ROUND_S, Coordinator, observe
+from fescuequay_entry.relay.coordinator import Coordinator, observe
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
     CloseRequest,
@@ -22,18 +23,18 @@
 from fescuequay_entry.relay.replacement import drain_writes
 from fescuequay_entry.relay.supply import Supply
 
-#: Least time between two exchanges that demand asked for, in seconds: twenty of them cost the coordinator a
-#: hundredth of a processor for each instance.
-_URGENT_S: Final = 0.012
-
 #: Least pause after a round that took long, in seconds.
 _LEAST_PAUSE_S: Final = 0.02
 
 #: Age of relayed confirmations from which this instance reads the table itself, in seconds. Three renewals.
 _STALE_S: Final = 2.0
 
-#: Time without any answer from outside after which this instance asks around, in seconds: an exchange and a bit.
-_QUIET_S: Final = 0.45
+#: Exchanges without any answer from outside the data centre from which an instance asks for no more callers.
+#: A silent table alone does not count, since no other instance would be better off.
+_ISOLATED_ROUNDS: Final = 3.2
+
+#: Exchanges without any answer from outside after which this instance asks around.
+_QUIET_ROUNDS: Final = 1.3
 
 #: Longest random delay before the duty is taken over, in seconds, so that few instances try at once.
 _SPREAD_S: Final = 0.12
@@ -105,6 +106,13 @@
         """:returns: Time since the table or an instance of another data centre last answered."""
         return self._board.clock() - max(self._table_at, self._heard_at)
 
+    def is_isolated(self) -> bool:
+        """:returns: Whether nothing outside the data centre has answered for some exchanges."""
+        return self.isolated_s() > _ISOLATED_ROUNDS * self._round_s()
+
+    def _round_s(self) -> float:
+        return round_s(self._board.member_count())
+
     def _on_change(self, subject: str) -> None:
         if subject == 'demand':
             self._urgent.set()
@@ -120,13 +128,13 @@
 
     async def _pause(self, began_at: Instant) -> None:
         """Wait for the next round, or for a shorter while when an operation needs a token now."""
-        left_s = began_at + ROUND_S - self._board.clock()
+        left_s = began_at + self._round_s() - self._board.clock()
         try:
             await asyncio.wait_for(self._urgent.wait(), max(left_s, _LEAST_PAUSE_S))
         except TimeoutError:
             return
         self._urgent.clear()
-        await asyncio.sleep(max(min(began_at + _URGENT_S - self._board.clock(), left_s), 0))
+        await asyncio.sleep(max(min(began_at + urgent_s(self._board.member_count()) - self._board.clock(), left_s), 0))
 
     async def _round(self) -> None:
         board = self._board
@@ -173,8 +181,8 @@
     async def _keep_path(self) -> None:
         """While neither the table nor the coordinator answers, ask around who else does."""
         while True:
-            await asyncio.sleep(ROUND_S)
-            if self.isolated_s() > _QUIET_S:
+            await asyncio.sleep(self._round_s())
+            if self.isolated_s() > _QUIET_ROUNDS * self._round_s():
                 await self._ask_another()
 
     async def _take_duty(self) -> None:
@@ -244,6 +252,7 @@
             board.configuration.version if board.configuration else -1,
             not board.has_targets,
             observations,
+            board.members_digest(),
             {str(name): count for name, count in board.buckets.wants(now).items()} if delegates else {},
             delegates,
         )
@@ -253,7 +262,8 @@
         board = self._board
         for record in answer.records:
             board.learn_record(record, began_at - answer.record_age_s, 'coordinator')
-        self._records.take_members(answer.members)
+        if answer.members:
+            self._records.take_members(answer.members)
         if answer.configuration is not None:
             board.adopt(answer.configuration, 'coordinator')
         elif board.configuration is not None and board.configuration.version > answer.configuration_version:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -15,6 +15,7 @@
     :param needs_targets: Whether it knows no targets.
     :param observations: For each service: target, seconds since its first failure, whether it refuses
         connections, whether it answered lately, and whether another target of the service did.
+    :param members: Digest of the instances that it knows; the list comes only when it is another one.
     :param wanted: Tokens that it asks for, by organisation.
     :param delegates: Whether it leaves its even part of the limits to the receiver for a while.
     """
@@ -23,6 +24,7 @@
     configuration_version: int
     needs_targets: bool
     observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]]
+    members: str
     wanted: dict[str, int]
     delegates: bool
 
@@ -51,7 +53,8 @@
     :param duty: Newest row of the duty that it knows.
     :param records: Newest leader records.
     :param record_age_s: Since when they are known to be the newest.
-    :param members: Instances that share the limits.
+    :param members: Instances that share the limits; nothing when the asker knows them.
+    :param members_digest: Digest of the instances that share the limits.
     :param tokens: For each organisation that asked: tokens, and the time until the next one if too few.
     :param samples: Positions of primaries by service.
     :param configuration: A newer configuration.
@@ -64,6 +67,7 @@
     records: tuple[LeaderRecord, ...] = ()
     record_age_s: float = 0.0
     members: tuple[MemberRecord, ...] = ()
+    members_digest: str = ''
     tokens: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
     samples: dict[str, SampleNote] = dataclasses.field(default_factory=dict)
     configuration: Configuration | None = None
--- a/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
@@ -4,19 +4,16 @@
 from collections.abc import Callable
 from typing import Final
 
-from fescuequay_core.relay.buckets import CONTACT_S
 from fescuequay_core.relay.model import MemberRecord
+from fescuequay_core.relay.pace import contact_s, round_s, urgent_s
 from fescuequay_core.types import InstanceId, Instant, OrganisationId
 from fescuequay_entry.relay.board import Board, log_event
-from fescuequay_entry.relay.coordinator import ROUND_S, Coordinator
+from fescuequay_entry.relay.coordinator import Coordinator
 from fescuequay_entry.relay.messages import ExchangeAnswer, ExchangeRequest
 from fescuequay_entry.relay.ports import PeerError, Peers
 
-#: Time without tokens from a coordinator after which a neighbour is asked, in seconds: two exchanges.
-_QUIET_S: Final = 0.75
-
-#: Least time between two questions that waiting operations asked for, in seconds.
-_URGENT_S: Final = 0.02
+#: Exchanges without tokens from a coordinator after which a neighbour is asked.
+_QUIET_ROUNDS: Final = 2.1
 
 #: Time for which an instance that did not answer is not asked again, in seconds.
 _SILENT_S: Final = 2.0
@@ -60,15 +57,15 @@
         """Find a stand-in whenever there is no coordinator, for ever."""
         while True:
             try:
-                await asyncio.wait_for(self._urgent.wait(), ROUND_S)
+                await asyncio.wait_for(self._urgent.wait(), round_s(self._board.member_count()))
             except TimeoutError:
                 self._urgent.clear()
             self._urgent.clear()
             now = self._board.clock()
             is_holder = self._board.duty.holds(now)
-            if not is_holder and now - self.supplied_at > _QUIET_S:
+            if not is_holder and now - self.supplied_at > _QUIET_ROUNDS * round_s(self._board.member_count()):
                 await self._ask_stand_in()
-            await asyncio.sleep(_URGENT_S)
+            await asyncio.sleep(urgent_s(self._board.member_count()))
 
     def delegate(self, address: str, now: Instant) -> bool:
         """Leave the even part to an instance, unless another may still count on it.
@@ -82,7 +79,7 @@
         if address != self._delegate:
             log_event('tokens_from', address=address, earlier=self._delegate or '-')
         self._delegate = address
-        self._delegated_until = now + CONTACT_S
+        self._delegated_until = now + self._contact_s()
         return True
 
     def serve_own(self) -> None:
@@ -98,11 +95,14 @@
         :param began_at: When that was sent.
         """
         buckets = self._board.buckets
-        buckets.note_contact(began_at + CONTACT_S)
+        buckets.note_contact(began_at + self._contact_s())
         for name, (tokens, dry_s) in answer.tokens.items():
             buckets.receive(OrganisationId(name), tokens, dry_s, began_at)
         self._board.changes.on_next('tokens')
 
+    def _contact_s(self) -> float:
+        return contact_s(self._board.member_count())
+
     def _on_change(self, subject: str) -> None:
         if subject == 'demand':
             self._urgent.set()
