--- a/packages/fescuequay-core/fescuequay_core/relay/pace.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/pace.py
@@ -11,7 +11,7 @@
 
 #: Shortest time between two exchanges that waiting operations asked for, in seconds, and for each instance.
 _LEAST_URGENT_S: Final = 0.012
-_URGENT_PER_MEMBER_S: Final = 0.0015
+_URGENT_PER_MEMBER_S: Final = 0.0009
 
 #: Exchanges that may be missed before an instance takes its even part of the limits back.
 _CONTACT_ROUNDS: Final = 2.6
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -52,6 +52,8 @@
         self.configuration: Configuration | None = None
         self.targets_by_id: dict[TargetId, TargetDescription] = {}
         self.has_targets = False
+        self.fed_at: dict[str, Instant] = {}
+        self.relayed_until: Instant = float('-inf')
         self.members_by_id: dict[InstanceId, MemberRecord] = {}
         self.permits = Permits()
         self.samples = Samples()
@@ -130,6 +132,15 @@
                 continue
             yield target, is_leader
 
+    def targets_digest(self) -> str:
+        """:returns: Short digest of the known targets and what they say of themselves."""
+        names = sorted(map(repr, self.targets_by_id.values()))
+        return hashlib.blake2b('\n'.join(names).encode(), digest_size=6).hexdigest()
+
+    def is_relayed(self) -> bool:
+        """:returns: Whether the coordinator passes on the configuration and the registry, freshly read."""
+        return self.clock() < self.relayed_until
+
     def members_digest(self) -> str:
         """:returns: Short digest of the known instances and their incarnations."""
         names = sorted(f'{member.instance}/{member.incarnation}' for member in self.members_by_id.values())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -13,6 +13,7 @@
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.controls import Controls
+from fescuequay_entry.relay.followers import FEEDS
 from fescuequay_entry.relay.messages import ExchangeAnswer, ExchangeRequest, SampleNote
 from fescuequay_entry.relay.ports import TableError
 from fescuequay_entry.relay.records import DutyLost, Records
@@ -30,6 +31,9 @@
 #: Age up to which a position from traffic makes a probe needless, in seconds; reads accept 1.5 s and more.
 _FRESH_S: Final = 0.4
 
+#: Age that is told of feeds that were never read, in seconds; JSON has no infinity.
+_UNFED_S: Final = 1e6
+
 #: Time within which an answer shows that a primary is reached, in seconds.
 ANSWERED_S: Final = 1.0
 
@@ -119,7 +123,8 @@
             samples=dict(self._samples(now)),
             configuration=configuration if configuration and held > request.configuration_version else None,
             configuration_version=held,
-            targets=tuple(board.targets_by_id.values()) if request.needs_targets else (),
+            targets=() if request.targets == board.targets_digest() else tuple(board.targets_by_id.values()),
+            feed_age_s=now - min(board.fed_at.values()) if len(board.fed_at) == FEEDS else _UNFED_S,
         )
 
     def take_own_part(self, now: Instant) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, TypeVar
 
 from fescuequay_core.relay.model import Configuration, TargetDescription
@@ -16,6 +16,16 @@
 #: the client's own second; peers relay a newer configuration meanwhile. Half the calls of a wait of 2 s.
 WAIT_S: Final = 4.0
 
+#: Feeds that are followed.
+FEEDS: Final = 2
+
+#: Age of the coordinator's own feeds up to which others rely on them, in seconds: a call that waited in vain, and a
+#: second in which its answer may be late.
+RELAY_S: Final = WAIT_S + 1.0
+
+#: Time between two looks whether the coordinator still relays, in seconds.
+_RELAYED_LOOK_S: Final = 0.2
+
 #: Pause after a failed call, in seconds; varied by a factor of two, so that instances do not call in step.
 _PAUSE_S: Final = 0.3
 
@@ -37,7 +47,7 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        await _follow(self._feed, self._take, 'configuration')
+        await _follow(self._board, self._feed, self._take, 'configuration', on_failure=_nothing)
 
     def _take(self, items: dict[str, Configuration | None], _is_snapshot: bool) -> None:
         for configuration in items.values():
@@ -60,7 +70,20 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        await _follow(self._feed, self._take, 'targets', on_failure=self._note_failure)
+        await _follow(self._board, self._feed, self._take, 'targets', on_failure=self._note_failure)
+
+    def adopt(self, targets: Iterable[TargetDescription]) -> None:
+        """Take over the registry as the coordinator has it; what is in doubt there is still in its list.
+
+        :param targets: The targets.
+        """
+        present = {target.target: target for target in targets}
+        for description in present.values():
+            self._put(description)
+        for target in tuple(self._board.targets_by_id):
+            if target not in present:
+                self._remove(target)
+        self._board.has_targets = True
 
     def sweep(self) -> None:
         """Remove the targets whose entries stayed away."""
@@ -120,32 +143,57 @@
 
 
 async def _follow(
+    board: Board,
     feed: Feed[Item],
     take: Callable[[dict[str, Item | None], bool], None],
     name: str,
-    on_failure: Callable[[], None] | None = None,
+    on_failure: Callable[[], None],
 ) -> None:
     version: int | None = None
     is_lost = False
     while True:
+        if version is not None and await _is_relayed(board):
+            # The coordinator followed for all meanwhile; this instance's own call begins with a snapshot.
+            version = None
         try:
             version = await _step(feed, take, version)
         except HistoryLost:
             log_event('feed_history_lost', feed=name, version=version)
             version = None
         except TableError as error:
-            if on_failure is not None:
-                on_failure()
-            if not is_lost:
-                log_event('feed_lost', feed=name, version=version, detail=str(error))
+            on_failure()
+            _tell_lost(name, error, is_lost=is_lost)
             is_lost = True
             await asyncio.sleep(random.uniform(_PAUSE_S / 2, _PAUSE_S * 2))  # noqa: S311 -- spreads calls, no secret
         else:
+            board.fed_at[name] = board.clock()
             if is_lost:
                 log_event('feed_regained', feed=name, version=version)
             is_lost = False
 
 
+def _nothing() -> None:
+    """Take no note of a failed call: an older configuration stays in force."""
+
+
+def _tell_lost(name: str, error: TableError, *, is_lost: bool) -> None:
+    """Log the first failure of a row of them."""
+    if not is_lost:
+        log_event('feed_lost', feed=name, detail=str(error))
+
+
+async def _is_relayed(board: Board) -> bool:
+    """Wait for as long as the coordinator relays.
+
+    :returns: Whether it did at all.
+    """
+    has_waited = False
+    while board.is_relayed() and not board.duty.is_own():
+        has_waited = True
+        await asyncio.sleep(_RELAYED_LOOK_S)
+    return has_waited
+
+
 async def _step(feed: Feed[Item], take: Callable[[dict[str, Item | None], bool], None], version: int | None) -> int:
     """:returns: The version to go on from, after one call."""
     batch = await feed.snapshot() if version is None else await feed.changes(version, WAIT_S)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -7,10 +7,11 @@
 
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.model import LogPosition, MemberRecord
-from fescuequay_core.relay.pace import round_s, urgent_s
+from fescuequay_core.relay.pace import contact_s, round_s, urgent_s
 from fescuequay_core.types import Instant, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.coordinator import Coordinator, observe
+from fescuequay_entry.relay.followers import RELAY_S, TargetFollower
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
     CloseRequest,
@@ -47,9 +48,13 @@
     :param records: The system's rows.
     :param peers: Client of the other instances.
     :param coordinator: Acts while this instance holds the duty.
+    :param targets: Takes the registry that the coordinator relays.
     """
 
-    def __init__(self, board: Board, records: Records, peers: Peers, coordinator: Coordinator) -> None:
+    def __init__(
+        self, board: Board, records: Records, peers: Peers, coordinator: Coordinator, targets: TargetFollower
+    ) -> None:
+        self._targets = targets
         self._board = board
         self._records = records
         self._peers = peers
@@ -250,7 +255,7 @@
         return ExchangeRequest(
             MemberRecord(own.instance, own.incarnation, own.peer_address, own.data_centre),
             board.configuration.version if board.configuration else -1,
-            not board.has_targets,
+            board.targets_digest(),
             observations,
             board.members_digest(),
             {str(name): count for name, count in board.buckets.wants(now).items()} if delegates else {},
@@ -268,10 +273,10 @@
             board.adopt(answer.configuration, 'coordinator')
         elif board.configuration is not None and board.configuration.version > answer.configuration_version:
             self._send(board.duty.record.address if board.duty.record else '', News(board.configuration))
-        if answer.targets and not board.has_targets:
-            for target in answer.targets:
-                board.targets_by_id.setdefault(target.target, target)
-            board.changes.on_next('targets')
+        if answer.targets:
+            self._targets.adopt(answer.targets)
+        if answer.feed_age_s < RELAY_S:
+            board.relayed_until = began_at + contact_s(board.member_count())
         for service, note in answer.samples.items():
             position = LogPosition(Term(note.position_term), note.number)
             known = board.permits.record(ServiceId(service))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -12,7 +12,7 @@
 
     :param member: Who it is.
     :param configuration_version: Version it holds; -1 for none.
-    :param needs_targets: Whether it knows no targets.
+    :param targets: Digest of the targets that it knows; the list comes only when it is another one.
     :param observations: For each service: target, seconds since its first failure, whether it refuses
         connections, whether it answered lately, and whether another target of the service did.
     :param members: Digest of the instances that it knows; the list comes only when it is another one.
@@ -22,7 +22,7 @@
 
     member: MemberRecord
     configuration_version: int
-    needs_targets: bool
+    targets: str
     observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]]
     members: str
     wanted: dict[str, int]
@@ -59,7 +59,8 @@
     :param samples: Positions of primaries by service.
     :param configuration: A newer configuration.
     :param configuration_version: Version that the coordinator holds.
-    :param targets: Registry, for an instance that knows none.
+    :param targets: The registry, for an instance that knows another one.
+    :param feed_age_s: Time since the coordinator last heard of the configuration and of the registry.
     """
 
     is_coordinator: bool
@@ -73,6 +74,7 @@
     configuration: Configuration | None = None
     configuration_version: int = -1
     targets: tuple[TargetDescription, ...] = ()
+    feed_age_s: float = 1e6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -30,8 +30,9 @@
 )
 from fescuequay_entry.relay.routes import InFlight, Placed, Runner, Work
 
-#: Share of the aimed time for which an operation waits for its organisation's next token.
-_TOKEN_SHARE: Final = 0.2
+#: Share of the aimed time for which an operation waits for its organisation's next token. A coordinator that has
+#: none says so in its first answer; only one that is slow to answer costs as much.
+_TOKEN_SHARE: Final = 0.4
 
 #: Time within which a caller must send its first message, in seconds; callers send it at once.
 _OPENING_S: Final = 5.0
