Act on no leader record before the own row is in the table

Cause, found by reading: a promoter collects permits from the instances whose rows it reads after the closing. An instance whose row had been removed after 12 s of silence got its permit from its first read and registered milliseconds later, and the exchange gave permits to instances that were in the coordinator's memory only; a promotion in between would not have waited for them. Change: a record confirms nothing until the own row, with this incarnation, was among the rows read; the coordinator tells whether the asker is listed, and reads the table when it is not.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -59,6 +59,11 @@
     When the table rejects the coordinator alone for 6 s
     Then another instance coordinates within 1.8 s
 
+  Scenario: An instance whose row was removed acts on no record until it is listed again
+    Given 9 instances in virtual time
+    When an instance is cut off for 16 s, so that its row is removed, and comes back
+    Then it has no permit while it is not listed, and is listed and has one within 3 s
+
   Scenario: A coordinator that takes over a change of primary does not wait for its permits anew
     Given 9 instances in virtual time
     When a primary and an instance go dark, and the coordinator is killed 2 s later
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -208,6 +208,40 @@
     assert context.took_s <= limit, context.took_s
 
 
+@when('an instance is cut off for 16 s, so that its row is removed, and comes back')
+def step_unlisted(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        await asyncio.sleep(12)
+        name = next(other for other in sorted(world.instances) if other != _coordinator_of(world))
+        places = [place for place in world.network.zones_by_place if place != name]
+        for place in places:
+            world.network.cut(name, place)
+        await asyncio.sleep(16)
+        context.was_removed = f'member/{name}' not in world.store.rows
+        for place in places:
+            world.network.heal(name, place)
+        context.unlisted_permits = 0
+        context.has_permit = False
+        for _ in range(3000):
+            await asyncio.sleep(0.001)
+            is_permitted = world.instances[name].board.permits.leader(ServiceId('s0'), world.loop.time()) is not None
+            is_listed = f'member/{name}' in world.store.rows
+            context.unlisted_permits += is_permitted and not is_listed
+            context.has_permit = is_permitted and is_listed
+
+    world.run(story)
+
+
+@then('it has no permit while it is not listed, and is listed and has one within 3 s')
+def step_listed(context: Any) -> None:
+    assert context.was_removed
+    assert not context.unlisted_permits, context.unlisted_permits
+    assert context.has_permit
+
+
 @when('a primary and an instance go dark, and the coordinator is killed 2 s later')
 def step_dark(context: Any) -> None:
     world: World = context.relay
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -55,6 +55,7 @@
         self.fed_at: dict[str, Instant] = {}
         self.relayed_until: Instant = float('-inf')
         self.members_by_id: dict[InstanceId, MemberRecord] = {}
+        self.listed: frozenset[tuple[InstanceId, str]] = frozenset()
         self.permits = Permits()
         self.samples = Samples()
         self.evidence = Evidence()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -109,12 +109,16 @@
             board.members_by_id[member.instance] = member
             board.buckets.set_members(board.member_count())
         self._observations[member.instance] = (now, request)
+        is_listed = (member.instance, member.incarnation) in board.listed
+        if not is_listed:
+            self._read_at = float('-inf')
         known = board.members_digest()
         configuration = board.configuration
         held = configuration.version if configuration else -1
         return ExchangeAnswer(
             is_coordinator=True,
             duty=board.duty.record,
+            is_listed=is_listed,
             records=board.permits.records(),
             record_age_s=board.permits.oldest_age_s(now) if board.permits.records() else 0.0,
             members=() if request.members == known else tuple(board.members_by_id.values()),
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -153,12 +153,13 @@
             await self._act()
             return
         if duty.record is not None and duty.record.instance and await self._exchange(duty.record.address):
-            if board.permits.oldest_age_s(board.clock()) < _STALE_S or not board.permits.records():
+            if board.permits.oldest_age_s(board.clock()) < _STALE_S:
                 return
         await self._records.read()
         self._table_at = board.clock()
-        if board.own.instance not in board.members_by_id:
+        if (board.own.instance, board.own.incarnation) not in board.listed:
             await self._records.register()
+            await self._records.read()
         if board.duty.may_take(board.clock()) and not board.is_stopping:
             await asyncio.sleep(random.uniform(0, _SPREAD_S))  # noqa: S311 -- spreads calls, no secret
             await self._take_duty()
@@ -265,8 +266,9 @@
     def _take(self, answer: ExchangeAnswer, began_at: Instant) -> None:
         """Take in an answer; everything in it is at least as old as the request."""
         board = self._board
+        confirmed_at = began_at - answer.record_age_s if answer.is_listed else float('-inf')
         for record in answer.records:
-            board.learn_record(record, began_at - answer.record_age_s, 'coordinator')
+            board.learn_record(record, confirmed_at, 'coordinator')
         if answer.members:
             self._records.take_members(answer.members)
         if answer.configuration is not None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -51,6 +51,8 @@
 
     :param is_coordinator: Whether the instance that answers holds the duty.
     :param duty: Newest row of the duty that it knows.
+    :param is_listed: Whether the asker's row was in the table at the coordinator's latest read; only then may
+        it act on the records.
     :param records: Newest leader records.
     :param record_age_s: Since when they are known to be the newest.
     :param members: Instances that share the limits; nothing when the asker knows them.
@@ -65,6 +67,7 @@
 
     is_coordinator: bool
     duty: DutyRecord | None = None
+    is_listed: bool = False
     records: tuple[LeaderRecord, ...] = ()
     record_age_s: float = 0.0
     members: tuple[MemberRecord, ...] = ()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -45,18 +45,22 @@
         began_at = board.clock()
         rows = await self._table.read()
         duty: DutyRecord | None = None
+        leaders: list[LeaderRecord] = []
         members: dict[InstanceId, MemberRecord] = {}
         for row in rows:
             if row.key == _DUTY_KEY:
                 duty = _decoded(row, DutyRecord)
             elif row.key.startswith(_LEADER_PREFIX):
-                leader = _decoded(row, LeaderRecord)
-                if leader is not None:
-                    board.learn_record(leader, began_at, 'table')
+                leaders.extend(filter(None, [_decoded(row, LeaderRecord)]))
             elif row.key.startswith(_MEMBER_PREFIX):
                 member = _decoded(row, MemberRecord)
                 if member is not None:
                     members[member.instance] = member
+        board.listed = frozenset((member.instance, member.incarnation) for member in members.values())
+        # A promoter collects permits from the instances that are listed; another one must not act on a record.
+        is_listed = (board.own.instance, board.own.incarnation) in board.listed
+        for leader in leaders:
+            board.learn_record(leader, began_at if is_listed else float('-inf'), 'table')
         board.duty.learn(duty, board.clock())
         self.take_members(members.values())
 
