--- a/packages/fescuequay-standins/fescuequay_standins/group.py
+++ b/packages/fescuequay-standins/fescuequay_standins/group.py
@@ -173,6 +173,7 @@
         for member in self.members_by_name.values():
             member.database.members = len(names)
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_closed = False
 
     async def start(self, ports_by_name: dict[str, int] | None = None) -> None:
         """Open every listener and begin to replicate.
@@ -186,6 +187,7 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        self._is_closed = True
         for task in self._tasks:
             task.cancel()
         # The copying must have ended before the files that it writes are closed and removed.
@@ -209,7 +211,8 @@
         return max(candidates, key=lambda other: other.database.term, default=None)
 
     async def _replicate(self, member: Member) -> None:
-        while True:
+        # ``wait_for`` may swallow a cancellation that comes as its future ends, so the loop also looks for itself.
+        while not self._is_closed:
             upstream = self._upstream(member)
             if upstream is not None:
                 self._copy(upstream, member)
