Renew the duty only on a complete view of the leader records

Cause: a renewal confirms all known leader records, because nothing can have been written without the duty. That held only if the instance itself had read or written everything up to the row's version. A closing record whose answer was lost, followed by a peer's word of the duty's present row (or by a failed reading), let the next renewal confirm the old leader, dated after the closing; a successor that counts the wait from when it first read the closing record would then promote too early. Beside it: a reading that began before an instance was marked could list it again, and the wait for its permits was kept by incarnation though it may register anew and be marked again between two readings. All three found while specifying the protocol.

Change: Records knows up to which version it is complete and reads first otherwise; marks count by the row's version.

--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -40,7 +40,10 @@
         self._lock = asyncio.Lock()
         self._unanswered_nonces: set[str] = set()
         self._row_versions_by_member: dict[InstanceId, int] = {}
-        self._leaving_since: dict[InstanceId, tuple[str, Instant]] = {}
+        self._leaving_since: dict[InstanceId, tuple[int, Instant]] = {}
+        self._marked_versions: dict[InstanceId, int] = {}
+        # Version of the duty's row with which every leader record was read or written here.
+        self._complete_at = -1
 
     async def read(self) -> None:
         """Read everything. :raises TableError: There was no answer."""
@@ -61,6 +64,7 @@
                     members[member.instance] = member
                     self._row_versions_by_member[member.instance] = row.version
         self._note_listed(members.values())
+        self._complete_at = max(self._complete_at, duty.version if duty else 0)
         # A promoter collects permits from the instances that are listed; another one must not act on a record.
         is_listed = (board.own.instance, board.own.incarnation) in board.listed
         for leader in leaders:
@@ -158,11 +162,12 @@
         """
         members = self._board.members_by_id
         marked = {instance: dataclasses.replace(members[instance], is_leaving=True) for instance in instances}
-        await self._write(
+        version = await self._write(
             self._row_conditions(marked),
             {_MEMBER_PREFIX + instance: msgspec.json.encode(member) for instance, member in marked.items()},
         )
-        # The new versions of the rows come with the next read.
+        # The new versions of the rows come with the next read; one that began earlier lists nobody of these.
+        self._marked_versions.update(dict.fromkeys(marked, version))
         self._board.listed = frozenset(pair for pair in self._board.listed if pair[0] not in marked)
 
     def have_ended(self) -> list[InstanceId]:
@@ -182,16 +187,20 @@
 
     def _note_listed(self, members: Iterable[MemberRecord]) -> None:
         """Note who may get permits, and since when the others surely get none."""
+        versions = self._row_versions_by_member
         self._board.listed = frozenset(
-            (member.instance, member.incarnation) for member in members if not member.is_leaving
+            (member.instance, member.incarnation)
+            for member in members
+            if not member.is_leaving and versions[member.instance] > self._marked_versions.get(member.instance, -1)
         )
-        now = self._board.clock()
-        leaving = {member.instance: member.incarnation for member in members if member.is_leaving}
-        known = self._leaving_since
-        self._leaving_since = {
-            instance: known[instance] if known.get(instance, ('',))[0] == incarnation else (incarnation, now)
-            for instance, incarnation in leaving.items()
+        # A row of another version was registered anew and marked again in between.
+        marks = {
+            member.instance: (versions[member.instance], self._board.clock()) for member in members if member.is_leaving
         }
+        for instance, (version, since) in self._leaving_since.items():
+            if marks.get(instance, (-1,))[0] == version:
+                marks[instance] = (version, since)
+        self._leaving_since = marks
 
     def _row_conditions(self, instances: Iterable[InstanceId]) -> dict[str, int]:
         return {_MEMBER_PREFIX + instance: self._row_versions_by_member[instance] for instance in instances}
@@ -202,6 +211,10 @@
         """Write under the duty, renewing it with the same transaction; one at a time."""
         async with self._lock:
             held = self._board.duty.record
+            if held is not None and held.version != self._complete_at:
+                # A peer told of the row; a leader record may have been written with it.
+                await self.read()
+                held = self._board.duty.record
             if held is None or not self._board.duty.is_own():
                 raise DutyLost
             began_at = self._board.clock()
@@ -214,6 +227,7 @@
             )
             if written.is_accepted:
                 self._unanswered_nonces.clear()
+                self._complete_at = written.version
                 self._board.duty.renewed(_numbered(record, written.version), began_at)
                 return written.version
             await self._resolve(written)
@@ -228,7 +242,6 @@
             known = self._board.duty.record
             if known is None or present.version > known.version:
                 log_event('own_write_found', nonce=present.nonce, version=present.version)
-                self._board.duty.record = present
             await self.read()
             return
         self._board.duty.learn(present, self._board.clock())
