--- /dev/null
+++ b/features/steps/stopping_steps.py
@@ -0,0 +1,86 @@
+"""Steps that let an operation wait at an instance that stops; virtual time."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from fescuequay_core.relay.model import (
+    Consistency,
+    DatabaseName,
+    LeaderRecord,
+    Route,
+    TargetDescription,
+)
+from fescuequay_core.relay.refusals import Refused
+from fescuequay_core.types import (
+    InstanceId,
+    LeaderState,
+    OrganisationId,
+    Role,
+    ServiceId,
+    TargetId,
+    Term,
+    Verdict,
+)
+from fescuequay_emulator.virtual import VirtualLoop
+from fescuequay_entry.relay.board import Board, Self
+from fescuequay_entry.relay.pool import Pools
+from fescuequay_entry.relay.routes import Runner, Work
+
+SERVICE = ServiceId('menus')
+PRIMARY = TargetId('t1')
+
+
+@given('an instance whose service has its primary replaced')
+def step_replaced(context: Any) -> None:
+    context.virtual = VirtualLoop()
+    context.waiting_board = Board(Self(InstanceId('a'), 'a1', 'north', 'a:1'), context.virtual.time)
+    context.waiting_board.learn_record(
+        LeaderRecord(SERVICE, Term(1), PRIMARY, LeaderState.CLOSING, 'dead', version=2), 0.0, 'table'
+    )
+    context.waiting_board.targets_by_id[PRIMARY] = TargetDescription(
+        PRIMARY, 1, SERVICE, 't1:9', 'north', is_draining=False, role=Role.PRIMARY
+    )
+
+
+@given('{what} that may wait for {limit_s:g} s')
+def step_wait(context: Any, what: str, limit_s: float) -> None:
+    route = Route(
+        'orders', DatabaseName('orders'), SERVICE, Consistency.SESSION, 2.0, limit_s, limit_s, 1, is_open=True
+    )
+    context.waiting = Work(route, OrganisationId('o'), context.virtual.time(), {}, None)
+    context.needs_primary = what == 'a write'
+
+
+@when('the instance stops and answers everything within {seconds:g} s')
+def step_stop(context: Any, seconds: float) -> None:
+    board = context.waiting_board
+
+    async def story() -> None:
+        # Connections are never asked for: there is no target that may run it.
+        runner = Runner(board, Pools(board, None))  # type: ignore[arg-type]
+        placing = asyncio.ensure_future(runner.place(context.waiting, needs_primary=context.needs_primary, tried=set()))
+        await asyncio.sleep(0.1)
+        board.answer_by = board.clock() + seconds
+        context.stopped_at = board.clock()
+        try:
+            await placing
+        except Refused as refusal:
+            context.refusal = refusal
+        context.refused_after_s = board.clock() - context.stopped_at
+
+    asyncio.set_event_loop(context.virtual)
+    context.virtual.run_until_complete(story())
+    context.virtual.close()
+
+
+@then('it is refused after {seconds:g} s at the latest')
+def step_refused(context: Any, seconds: float) -> None:
+    assert context.refused_after_s <= seconds + 1e-6, context.refused_after_s
+
+
+@then('the refusal says that nothing ran and when to come back')
+def step_says(context: Any) -> None:
+    assert context.refusal.reason.verdict is Verdict.NOT_RUN, context.refusal
+    assert context.refusal.retry_after_s is not None and context.refusal.retry_after_s > 0, context.refusal
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -293,7 +293,11 @@
         """Stop an instance by plan, then start it again."""
         instance = self.instances[name]
         # A kill may come before its end.
-        await asyncio.wait({self.spawn_as(name, instance.stop)})
+        stopping = self.spawn_as(name, instance.stop)
+        await asyncio.wait({stopping})
+        unanswered = instance.unanswered()
+        if unanswered and not stopping.cancelled():
+            self.overlaps[name] = Broken('lost', self.loop.time(), f'{name} ended by plan with {unanswered} at work')
         await self.restart(name)
 
     def primary_of(self, service: str) -> ModelTarget:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -62,6 +62,7 @@
         self.buckets = Buckets()
         self.duty = Duty(own.instance, own.incarnation)
         self.is_stopping = False
+        self.answer_by: Instant = float('inf')
         self.changes: Subject[str] = Subject()
         self.in_flight_writes: dict[ServiceId, int] = {}
         # A dict keeps the order in which the waiters came.
@@ -133,6 +134,10 @@
                 continue
             yield target, is_leader
 
+    def by_stop(self, until: Instant) -> Instant:
+        """:returns: The end of a wait, but for a planned stop: what waits then is answered before the process ends."""
+        return min(until, self.answer_by)
+
     def targets_digest(self) -> str:
         """:returns: Short digest of the known targets and what they say of themselves."""
         names = sorted(map(repr, self.targets_by_id.values()))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -46,6 +46,9 @@
 _DRAIN_SHARE: Final = 0.45
 _STOP_SHARE: Final = 0.75
 
+#: Time before the end at which whatever still waits is refused, in seconds: a few turns of the loop.
+_LAST_ANSWERS_S: Final = 0.2
+
 #: Time between two looks at what is still open while stopping, in seconds.
 _LOOK_S: Final = 0.05
 
@@ -148,6 +151,7 @@
         giving_up = asyncio.ensure_future(self.membership.give_up_duty())
         drain_until = began_at + self.settings.stop_s * _DRAIN_SHARE
         end_at = began_at + self.settings.stop_s * _STOP_SHARE
+        self.board.answer_by = end_at - _LAST_ANSWERS_S
         while self.board.clock() < drain_until and self._sessions:
             await asyncio.sleep(_LOOK_S)
         self._adapters.listener.stop_accepting()
@@ -163,6 +167,10 @@
         self._controls.close()
         log_event('stopped', sessions_cut=len(self._sessions), took_s=round(self.board.clock() - began_at, 2))
 
+    def unanswered(self) -> int:
+        """:returns: Sessions whose latest request has no answer yet."""
+        return sum(session.is_busy for session in self._sessions)
+
     def is_ready(self) -> bool:
         """:returns: Whether new callers should come here."""
         if self.board.is_stopping or self.board.configuration is None or not self.board.has_targets:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -41,7 +41,6 @@
         self._unanswered_nonces: set[str] = set()
         self._row_versions_by_member: dict[InstanceId, int] = {}
         self._leaving_since: dict[InstanceId, tuple[int, Instant]] = {}
-        self._marked_versions: dict[InstanceId, int] = {}
         # Version of the duty's row with which every leader record was read or written here.
         self._complete_at = -1
 
@@ -63,8 +62,11 @@
                 if member is not None:
                     members[member.instance] = member
                     self._row_versions_by_member[member.instance] = row.version
-        self._note_listed(members.values())
-        self._complete_at = max(self._complete_at, duty.version if duty else 0)
+        read_at = duty.version if duty else 0
+        if read_at >= self._complete_at:
+            # An older reading, overtaken by a newer one or by a write, would list instances that were marked since.
+            self._complete_at = read_at
+            self._note_listed(members.values())
         # A promoter collects permits from the instances that are listed; another one must not act on a record.
         is_listed = (board.own.instance, board.own.incarnation) in board.listed
         for leader in leaders:
@@ -162,12 +164,11 @@
         """
         members = self._board.members_by_id
         marked = {instance: dataclasses.replace(members[instance], is_leaving=True) for instance in instances}
-        version = await self._write(
+        await self._write(
             self._row_conditions(marked),
             {_MEMBER_PREFIX + instance: msgspec.json.encode(member) for instance, member in marked.items()},
         )
-        # The new versions of the rows come with the next read; one that began earlier lists nobody of these.
-        self._marked_versions.update(dict.fromkeys(marked, version))
+        # The new versions of the rows come with the next read.
         self._board.listed = frozenset(pair for pair in self._board.listed if pair[0] not in marked)
 
     def have_ended(self) -> list[InstanceId]:
@@ -189,9 +190,7 @@
         """Note who may get permits, and since when the others surely get none."""
         versions = self._row_versions_by_member
         self._board.listed = frozenset(
-            (member.instance, member.incarnation)
-            for member in members
-            if not member.is_leaving and versions[member.instance] > self._marked_versions.get(member.instance, -1)
+            (member.instance, member.incarnation) for member in members if not member.is_leaving
         )
         # A row of another version was registered anew and marked again in between.
         marks = {
--- a/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
@@ -185,7 +185,7 @@
         try:
             outcome = await asyncio.wait_for(
                 lease.connection.execute(request, statement, name=name, after=placed.after),
-                max(work.until - sent_at, 0),
+                max(self._board.by_stop(work.until) - sent_at, 0),
             )
         except (TimeoutError, TargetLost) as error:
             self._note_lost(placed, sent_at, error, request)
@@ -293,7 +293,9 @@
         pending: set[asyncio.Task[tuple[Outcome, Placed]]] = set()
         for limit_s in (self._hedge_s(work), work.route.timeout_s):
             pending.add(self._spawn(self._read_once(work, request, statement, shape, tried)))
-            outcome, pending = await self._first(pending, min(self._board.clock() + limit_s, work.until))
+            outcome, pending = await self._first(
+                pending, self._board.by_stop(min(self._board.clock() + limit_s, work.until))
+            )
             if outcome is not None:
                 return outcome
         raise Refused(refusals.TIMED_OUT, f'no target answered in {work.route.timeout_s:.2f} s')
@@ -362,7 +364,7 @@
                 if evidence.is_usable(now):
                     tried.discard(leader[1].target)
                     return leader
-            limit = self._patience_until(work, leader, now)
+            limit = self._board.by_stop(self._patience_until(work, leader, now))
             if now >= limit:
                 record = self._board.permits.record(service)
                 detail = f'{service} has no usable primary' + (
@@ -388,6 +390,7 @@
         latest = work.began_at + work.route.timeout_s * _READ_SHARE
         while True:
             now = self._board.clock()
+            latest = self._board.by_stop(latest)
             choice = self._best_reader(work, tried, now)
             if choice is not None:
                 return choice
@@ -417,7 +420,8 @@
     async def _try_place(self, work: Work, choice: Choice, tried: set[TargetId]) -> Placed | None:
         target = choice.target
         pool = self._pools.of(target)
-        until = min(work.until, max(work.began_at + work.route.aim_s, self._board.clock() + work.route.aim_s / 2))
+        patience = max(work.began_at + work.route.aim_s, self._board.clock() + work.route.aim_s / 2)
+        until = self._board.by_stop(min(work.until, patience))
         try:
             lease = await pool.acquire(work.organisation, work.route.priority, until)
         except TargetLost:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -88,7 +88,7 @@
         self._position: LogPosition | None = None
         self._shown: LogPosition | None = None
         self._transaction: OpenTransaction | None = None
-        self._is_busy = True
+        self.is_busy = True
 
     async def run(self) -> None:
         """Serve the caller."""
@@ -103,7 +103,7 @@
 
     def close_if_idle(self) -> bool:
         """:returns: Whether the session was outside any work and has been closed."""
-        if self._is_busy or self._transaction is not None or self._caller.has_unread():
+        if self.is_busy or self._transaction is not None or self._caller.has_unread():
             return False
         self._caller.close()
         return True
@@ -133,9 +133,9 @@
 
     async def _serve(self) -> None:
         while True:
-            self._is_busy = False
+            self.is_busy = False
             message = await self._next_message()
-            self._is_busy = True
+            self.is_busy = True
             if isinstance(message, Closing):
                 return
             if isinstance(message, Query):
@@ -237,7 +237,7 @@
 
     async def _start(self, began_at: Instant) -> Work:
         route, organisation = self._admit()
-        await self._take_token(organisation, began_at + route.aim_s * _TOKEN_SHARE)
+        await self._take_token(organisation, self._board.by_stop(began_at + route.aim_s * _TOKEN_SHARE))
         return Work(route, organisation, began_at, self._values, self._position)
 
     async def _take_token(self, organisation: OrganisationId, until: Instant) -> None:
@@ -332,12 +332,12 @@
             try:
                 outcome = await asyncio.wait_for(
                     placed.lease.connection.begin(is_write=transaction.is_write, after=placed.after),
-                    max(work.until - self._board.clock(), 0),
+                    max(self._board.by_stop(work.until) - self._board.clock(), 0),
                 )
             except (TimeoutError, TargetLost):
                 self._runner.release(placed, is_clean=False)
                 tried.add(placed.lease.target.target)
-                if self._board.clock() >= work.until:
+                if self._board.clock() >= self._board.by_stop(work.until):
                     raise Refused(refusals.NO_TARGET, 'no target began the transaction in time', _RETRY_S) from None
                 continue
             if outcome.fault is None:
