--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -112,3 +112,8 @@
       | 1     | 0     |
       | 17    | 2     |
       | 94    | 4     |
+
+  Scenario: A configuration comes in time though the one to ask for it is silent
+    Given 12 instances in virtual time
+    When the first instance of a data centre goes silent and a key is withdrawn
+    Then the other instances of that data centre hold the new configuration within 2 s
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -1,5 +1,6 @@
 """Steps for decisions that matter where there are many instances."""
 
+import asyncio
 import collections
 from typing import Any
 
@@ -10,6 +11,7 @@
 from fescuequay_core.relay.spread import parent_of
 from fescuequay_core.relay.tokenpool import TokenPool
 from fescuequay_core.types import InstanceId, OrganisationId
+from fescuequay_emulator.world import ZONES, World
 
 RATE_PER_S = 80.0
 MEMBERS = 4
@@ -93,3 +95,31 @@
         depths.setdefault(name, depths.get(parents[name], 0) + 1)
     assert len(roots) == 1 and max(asked.values(), default=0) <= 4, (roots, asked)
     assert max(depths.values()) == steps, depths
+
+
+@when('the first instance of a data centre goes silent and a key is withdrawn')
+def step_silent_parent(context: Any) -> None:
+    world: World = context.relay
+
+    async def story(_: World) -> None:
+        await world.begin()
+        # Each instance's own first call to the feed ends; from then on the coordinator tells of news.
+        await asyncio.sleep(6)
+        for place in tuple(world.network.zones_by_place):
+            world.network.cut('n0', place)
+        world.withdraw(world.credentials()[0])
+        version = world.judge.configurations[-1][1].version
+        near = [name for name, zone in world.zones_by_instance.items() if zone == ZONES[0] and name != 'n0']
+        began_at = world.loop.time()
+        while any(world.instances[name].board.configuration.version < version for name in near):
+            await asyncio.sleep(0.01)
+        context.near = near
+        context.took_s = world.loop.time() - began_at
+
+    world.run(story)
+
+
+@then('the other instances of that data centre hold the new configuration within {limit:g} s')
+def step_in_time(context: Any, limit: float) -> None:
+    assert len(context.near) >= 2
+    assert context.took_s <= limit, context.took_s
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -1,7 +1,6 @@
 """Follows the operator's configuration and the target registry."""
 
 import asyncio
-import itertools
 import random
 from collections.abc import Callable
 from typing import Final, TypeVar
@@ -67,11 +66,7 @@
         while True:
             await self._is_wanted.wait()
             self._is_wanted.clear()
-            for tries in itertools.count():
-                if self._held() >= self._wanted:
-                    break
-                if not await self._fetch_from(self._source(tries)):
-                    await asyncio.sleep(_FETCH_PAUSE_S * random.uniform(1, 2))  # noqa: S311 -- spreads calls
+            await self._get()
             self._sender = ''
 
     def want(self, version: int, sender: str = '') -> None:
@@ -103,19 +98,30 @@
         others = [member.address for member in members if member.instance != own.instance]
         return random.choice(others) if others and tries % 2 else ''  # noqa: S311 -- spreads calls, no secret
 
-    async def _fetch_from(self, address: str) -> bool:
-        """:returns: Whether a newer configuration came."""
-        earlier = self._held()
-        try:
-            if address:
-                answer = await self._peers.fetch(address, FetchRequest(earlier + 1))
-                if answer.configuration is not None:
-                    self._board.adopt(answer.configuration, f'peer {address}')
-            else:
-                self._take(dict((await self._feed.snapshot()).items), _is_snapshot=True)
-        except (TableError, HistoryLost, PeerError) as error:
-            log_event('fetch_failed', source=address or 'table', wanted=self._wanted, detail=str(error))
-        return self._held() > earlier
+    async def _get(self) -> None:
+        """Ask one source after the other until what is wanted is here."""
+        tries = 0
+        while self._held() < self._wanted:
+            earlier = self._held()
+            source = self._source(tries)
+            try:
+                await self._fetch_from(source)
+            except (TableError, HistoryLost, PeerError) as error:
+                log_event('fetch_failed', source=source or 'table', wanted=self._wanted, detail=str(error))
+                # A parent that is silent once is not waited for: changes must be in force within seconds.
+                tries = max(tries, _PARENT_TRIES - 1)
+            tries += 1
+            if self._held() == earlier:
+                await asyncio.sleep(_FETCH_PAUSE_S * random.uniform(1, 2))  # noqa: S311 -- spreads calls
+
+    async def _fetch_from(self, address: str) -> None:
+        """Ask a peer, or the table where no address is given. :raises TableError, HistoryLost, PeerError: No answer."""
+        if address:
+            answer = await self._peers.fetch(address, FetchRequest(self._held() + 1))
+            if answer.configuration is not None:
+                self._board.adopt(answer.configuration, f'peer {address}')
+        else:
+            self._take(dict((await self._feed.snapshot()).items), _is_snapshot=True)
 
     def _take(self, items: dict[str, Configuration | None], _is_snapshot: bool) -> None:
         for configuration in items.values():
