--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 JOBS ?= 4
+SOAK_S ?= 120
+INSTANCES ?= 6
 PACKAGES := packages/fescuequay-core packages/fescuequay-entry packages/fescuequay-ctl packages/fescuequay-standins \
 	packages/fescuequay-emulator platform
 SOURCES := packages platform deploy features spec lab
 
-.PHONY: help setup run test lint format prove prove-mutants measure capacity clean
+.PHONY: help setup run test lint format prove prove-mutants soak measure capacity clean
 
 help:  ## list the tasks
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -44,6 +46,9 @@
 prove-mutants: setup  ## remove each guard and print the counterexample
 	$(BIN)/python -m spec.prove --mutants
 
+soak: setup  ## harm real processes for minutes, with a fresh seed each time; SOAK_S, INSTANCES, SEED
+	$(BIN)/python -m features.soak --seconds $(SOAK_S) --instances $(INSTANCES) $(if $(SEED),--seed $(SEED))
+
 measure: setup  ## run the two workloads on stand-ins and print the table
 	$(BIN)/python -m lab.measure
 
--- a/spec/closing.py
+++ b/spec/closing.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 import z3
-
 from fescuequay_core.relay.permits import PERMIT_MARGIN_S, PERMIT_S
+
 from spec.transition import Action, Guard, State, System, only
 
 PERMIT = z3.RealVal(str(PERMIT_S))
--- a/spec/prove.py
+++ b/spec/prove.py
@@ -1,10 +1,10 @@
 """Checks the specification; with --mutants, shows a counterexample for each guard taken out."""
 
-import concurrent.futures
 import importlib
 import sys
 import time
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 
 import click
 
@@ -82,7 +82,7 @@
 def _show_mutants(jobs: int) -> int:
     survivors = 0
     mutants = [(number, guard) for number, system in enumerate(SYSTEMS) for guard in system.guards]
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+    with ProcessPoolExecutor(jobs) as pool:
         traces = list(pool.map(_trace_without, mutants))
     for (number, name), trace in zip(mutants, traces, strict=True):
         system = SYSTEMS[number]
