--- a/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
@@ -327,25 +327,33 @@
         has_failed = False
         while True:
             placed = await self.place(work, needs_primary=False, tried=tried)
-            is_clean = False
-            try:
-                outcome = await self.execute(work, placed, request, statement, shape)
-                is_clean = True
-            except TimeoutError:
-                raise Refused(refusals.TIMED_OUT, f'{placed.lease.target.target} was silent') from None
-            except TargetLost:
+            outcome = await self._execute_read(work, placed, request, statement, shape)
+            if outcome is None:
                 tried.add(placed.lease.target.target)
-                continue
-            finally:
-                self.release(placed, is_clean=is_clean)
-            if outcome.fault is None:
+            elif outcome.fault is None:
                 return outcome, placed
-            if outcome.fault.reason.promise is Promise.FAILED and not has_failed:
+            elif outcome.fault.reason.promise is Promise.FAILED and not has_failed:
                 # A read may run again; a second failure is the statement's own.
                 has_failed = True
                 tried.add(placed.lease.target.target)
-                continue
-            await self.consider_retry(work, placed, outcome.fault, tried)
+            else:
+                await self.consider_retry(work, placed, outcome.fault, tried)
+
+    async def _execute_read(
+        self, work: Work, placed: Placed, request: RequestId, statement: Statement, shape: tuple[str, bool] | None
+    ) -> Outcome | None:
+        """:returns: The target's answer; nothing when the connection ended. The connection is given back."""
+        is_clean = False
+        try:
+            outcome = await self.execute(work, placed, request, statement, shape)
+            is_clean = True
+            return outcome
+        except TimeoutError:
+            raise Refused(refusals.TIMED_OUT, f'{placed.lease.target.target} was silent') from None
+        except TargetLost:
+            return None
+        finally:
+            self.release(placed, is_clean=is_clean)
 
     def _hedge_s(self, work: Work) -> float:
         times = [self._board.evidence_of(target).statement_s for target in self._board.targets_of(work.route.service)]
