Bound the pace of exchanges at hundreds of instances, and measure control on the model

Cause: an exchange every 8 ms for each instance is 3.8 s apart at 470, but permits last 4 s and positions must be under 1.5 s old. Change: at most 0.9 s between exchanges (binds from 112 instances) and 0.1 s between requests that operations asked for. fescuequay-emulate scale counts messages as the real client encodes them, from the start of a calm load.

--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features import relay_guards
+from fescuequay_emulator import experiments
 from fescuequay_emulator.scenarios import Fault, Scenario, play
 from fescuequay_emulator.world import Plan
 
@@ -95,3 +96,16 @@
 @then('a promise was broken: {promises}')
 def step_broken(context: Any, promises: str) -> None:
     assert context.kinds & set(promises.split(', ')), context.kinds
+
+
+@when('calm deployments of {first:d} and {second:d} instances are played for {seconds:d} s')
+def step_scale(context: Any, first: int, second: int, seconds: int) -> None:
+    context.sizes = (first, second)
+    context.sized = list(experiments.scale(context.sizes, float(seconds), 2))
+
+
+@then('an instance exchanges less than {limit:g} KB a second')
+def step_control(context: Any, limit: float) -> None:
+    for count, figures in zip(context.sizes, context.sized, strict=True):
+        kilobytes = sum(figures.control_bytes.values()) / 1000 / figures.seconds / count
+        assert kilobytes < limit, (count, kilobytes)
--- a/packages/fescuequay-core/fescuequay_core/relay/pace.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/pace.py
@@ -9,9 +9,14 @@
 #: them take a sixteenth of its processor.
 _ROUND_PER_MEMBER_S: Final = 0.008
 
+#: Longest time between two exchanges, in seconds: reads accept data that is 1.5 s old, and the position of a primary
+#: is up to 0.4 s old when it is told. It binds from 112 instances on.
+_LONGEST_ROUND_S: Final = 0.9
+
 #: Shortest time between two exchanges that waiting operations asked for, in seconds, and for each instance.
 _LEAST_URGENT_S: Final = 0.012
 _URGENT_PER_MEMBER_S: Final = 0.0009
+_LONGEST_URGENT_S: Final = 0.1
 
 #: Mean time between two calls to a table that does not answer, in seconds, and for each instance: all of them
 #: together call it 50 times a second, so that its return is noticed at once by one, which tells the others.
@@ -25,12 +30,12 @@
 
 def round_s(members: int) -> float:
     """:returns: Time between two exchanges of one instance, in seconds."""
-    return max(_LEAST_ROUND_S, members * _ROUND_PER_MEMBER_S)
+    return min(max(_LEAST_ROUND_S, members * _ROUND_PER_MEMBER_S), _LONGEST_ROUND_S)
 
 
 def urgent_s(members: int) -> float:
     """:returns: Least time between two exchanges that operations asked for, in seconds."""
-    return max(_LEAST_URGENT_S, members * _URGENT_PER_MEMBER_S)
+    return min(max(_LEAST_URGENT_S, members * _URGENT_PER_MEMBER_S), _LONGEST_URGENT_S)
 
 
 def retry_s(members: int) -> float:
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -108,6 +108,23 @@
     )
 
 
+@main.command()
+@click.option('--sizes', default='30,100', show_default=True, help='Numbers of instances, separated by commas.')
+@click.option('--seconds', default=6.0, show_default=True, help='Length of the load.')
+@click.option('--jobs', default=2, help='Processes at a time.')
+def scale(sizes: str, seconds: float, jobs: int) -> None:
+    """Play calm deployments of several sizes and print what control costs an instance."""
+    counts = [int(text) for text in sizes.split(',')]
+    click.echo('instances  served  exchange KB/s  supply KB/s  all messages/s at the supplier  table calls/s')
+    for count, figures in zip(counts, experiments.scale(counts, seconds, jobs), strict=True):
+        kilobytes = {kind: size / 1000 / figures.seconds / count for kind, size in figures.control_bytes.items()}
+        messages = sum(figures.control_messages.values()) / figures.seconds
+        click.echo(
+            f'{count:9}  {figures.served / max(figures.asked, 1):6.3f}  {kilobytes.get("exchange", 0):13.2f}  '
+            f'{kilobytes.get("supply", 0):11.2f}  {messages:32.0f}  {figures.store_calls / figures.seconds:13.1f}'
+        )
+
+
 @main.command()
 @click.option('--days', default=20, help='Number of schedules.')
 @click.option('--first', default=1, help='First seed.')
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from fescuequay_emulator.scenarios import KINDS, Fault, Figures, Scenario, play
+from fescuequay_emulator.world import Plan
 
 #: Resamples of the bootstrap, and the share of them inside its interval.
 _RESAMPLES: Final = 2000
@@ -174,3 +175,23 @@
 
 def _share(figures: Figures) -> float:
     return figures.served / max(figures.asked, 1)
+
+
+def scale(counts: Sequence[int], seconds: float, jobs: int) -> Iterator[Figures]:
+    """Play calm deployments of several sizes.
+
+    Load and organisations grow with the number of instances: five operations a second and an organisation each.
+
+    :param counts: Numbers of instances.
+    :param seconds: Length of the load.
+    :param jobs: Processes at a time.
+    :returns: The figures, with control messages counted.
+    """
+    with multiprocessing.get_context('spawn').Pool(jobs) as pool:
+        yield from pool.imap(_play_size, [(count, seconds) for count in counts])
+
+
+def _play_size(size: tuple[int, float]) -> Figures:
+    count, seconds = size
+    plan = Plan(instances=count, services=4, slots=8, max_connections=2 * count, organisations=count, counts_bytes=True)
+    return play(Scenario('scale', plan, seconds, per_s=5.0 * count, sessions=8 * count), seed=1)
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -75,7 +75,10 @@
     :param write_gap_s: Longest time without a write that was served.
     :param median_s: Median time of a served operation.
     :param refused: Refusals by reason.
-    :param store_calls: Calls of the table.
+    :param store_calls: Calls of the table, from the start of the load.
+    :param seconds: Time for which calls and messages were counted.
+    :param control_bytes: Bytes between instances by kind of message, where they are counted.
+    :param control_messages: Messages between instances by kind, where they are counted.
     """
 
     broken: tuple[Broken, ...]
@@ -86,6 +89,9 @@
     median_s: float
     refused: dict[str, int]
     store_calls: int
+    seconds: float
+    control_bytes: dict[str, int]
+    control_messages: dict[str, int]
 
 
 def load(path: pathlib.Path) -> Scenario:
@@ -109,6 +115,7 @@
 
     async def story(_: World) -> None:
         await world.begin()
+        world.forget_costs()
         began_at = world.loop.time()
         faults = [asyncio.ensure_future(_apply(world, fault, began_at)) for fault in scenario.faults]
         await load_of_callers.run(scenario.seconds)
@@ -144,6 +151,9 @@
         statistics.median(latencies) if latencies else 0.0,
         refused,
         world.store.calls,
+        world.counted_s(),
+        dict(world.control),
+        dict(world.messages),
     )
 
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -1,12 +1,15 @@
 """Assembles a model deployment of real instances, and applies faults to it."""
 
 import asyncio
+import collections
 import contextvars
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final, TypeVar
 
+import msgspec
+
 from fescuequay_core.relay.model import (
     Configuration,
     Consistency,
@@ -46,6 +49,9 @@
 #: Heartbeats without which the registry drops a target, in seconds.
 _EXPIRY_S: Final = 3.6
 
+#: Bytes of the headers of a request and its answer, as the real client and listener write them.
+_HEADER_BYTES: Final = 330
+
 #: Time between two looks at what every instance may do, in seconds: well under an exchange.
 _LOOK_S: Final = 0.02
 
@@ -67,6 +73,7 @@
     :param organisations: Organisations.
     :param rate_per_s: Rate of each organisation.
     :param burst: Burst of each organisation.
+    :param counts_bytes: Whether messages between instances are measured.
     """
 
     instances: int = 5
@@ -79,6 +86,7 @@
     organisations: int = 3
     rate_per_s: float = 40.0
     burst: float = 40.0
+    counts_bytes: bool = False
 
 
 class ModelPeers(Peers):
@@ -98,7 +106,9 @@
         async def answer(instance: Instance) -> ExchangeAnswer:
             return instance.membership.answer_exchange(request)
 
-        return await self._ask(address, answer, PEER_TIMEOUT_S)
+        given = await self._ask(address, answer, PEER_TIMEOUT_S)
+        self._count('exchange', request, given)
+        return given
 
     async def supply(self, address: str, request: SupplyRequest) -> SupplyAnswer:
         """:returns: Tokens."""
@@ -106,7 +116,9 @@
         async def answer(instance: Instance) -> SupplyAnswer:
             return instance.membership.answer_supply(request)
 
-        return await self._ask(address, answer, PEER_TIMEOUT_S)
+        given = await self._ask(address, answer, PEER_TIMEOUT_S)
+        self._count('supply', request, given)
+        return given
 
     async def fetch(self, address: str, request: FetchRequest) -> FetchAnswer:
         """:returns: The peer's configuration."""
@@ -114,7 +126,9 @@
         async def answer(instance: Instance) -> FetchAnswer:
             return instance.configurations.answer_fetch(request)
 
-        return await self._ask(address, answer, FETCH_TIMEOUT_S)
+        given = await self._ask(address, answer, FETCH_TIMEOUT_S)
+        self._count('fetch', request, given)
+        return given
 
     async def close(self, address: str, request: CloseRequest, timeout_s: float) -> CloseAnswer:
         """:returns: The confirmation."""
@@ -128,6 +142,13 @@
 
         await self._ask(address, take, PEER_TIMEOUT_S)
 
+    def _count(self, kind: str, request: object, answer: object) -> None:
+        """Add up what crosses between instances, as the real client writes it."""
+        if self._world.plan.counts_bytes:
+            size = len(msgspec.json.encode(request)) + len(msgspec.json.encode(answer)) + _HEADER_BYTES
+            self._world.control[kind] += size
+            self._world.messages[kind] += 1
+
     async def _ask(self, address: str, question: Callable[[Instance], Awaitable[Answer]], timeout_s: float) -> Answer:
         async def go() -> Answer:
             name = self._world.names_by_address.get(address, address)
@@ -197,6 +218,9 @@
         self.names_by_address: dict[str, str] = {}
         self.zones_by_instance: dict[str, str] = {}
         self.promotions: list[tuple[float, InstanceId, int, TargetId]] = []
+        self.control: collections.Counter[str] = collections.Counter()
+        self.messages: collections.Counter[str] = collections.Counter()
+        self._counted_from = 0.0
         self.overlaps: dict[str, Broken] = {}
         self._targets_by_address: dict[str, ModelTarget] = {}
         self._incarnations = 0
@@ -225,6 +249,17 @@
             self.start_instance(f'n{number}', ZONES[number % len(ZONES)])
         await asyncio.sleep(3.0)
 
+    def forget_costs(self) -> None:
+        """Count calls of the table and messages between instances from now on."""
+        self.control.clear()
+        self.messages.clear()
+        self.store.calls = 0
+        self._counted_from = self.loop.time()
+
+    def counted_s(self) -> float:
+        """:returns: Time since the counts began."""
+        return self.loop.time() - self._counted_from
+
     def first_configuration(self) -> Configuration:
         """:returns: Routes of every kind for every service, and an organisation for each key."""
         plan = self.plan
