Let instances stand still in the emulator

A loop in virtual time now holds back what a frozen process would do until it wakes, and questions wait at it.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -17,6 +17,8 @@
       | an instance is killed | 1 | kill | 2 | 1 | - | 0 | 93 | 4 |
       | the coordinator is killed | 2 | kill | 2 | coordinator | - | 0 | 92 | 4 |
       | all instances are killed | 3 | kill_all | 1.5 | 0 | - | 0 | 88 | 5 |
+      | an instance freezes | 26 | freeze | 4 | 1 | - | 0 | 85 | 4 |
+      | the coordinator freezes | 27 | freeze | 4 | coordinator | - | 0 | 80 | 4 |
       | an instance is stopped by plan | 4 | stop | 1 | 0 | - | 0 | 97 | 3 |
       | the coordinator is stopped by plan | 5 | stop | 1 | coordinator | - | 0 | 95 | 3 |
       | a primary crashes | 6 | crash_primary | 6 | 0 | - | 0 | 97 | 3 |
@@ -62,6 +64,8 @@
       | a deaf replica and a crash of its primary | 34 | lag | deaf | 0.02 | 5 | crash_primary | 0 | - |
       | a key withdrawn from a cut-off data centre | 35 | cut_zone | - | 0 | 3.5 | withdraw | 0 | - |
       | a planned change in a cut-off data centre | 36 | cut_zone | reset | 0 | 3.2 | drain_primary | 0 | - |
+      | a promotion whose coordinator freezes | 39 | crash_primary | dark | 0 | 3.9 | freeze | coordinator | - |
+      | an instance freezes as a primary leaves | 40 | drain_primary | - | 0 | 2.95 | freeze | 1 | - |
       | all killed during a planned change | 37 | drain_primary | - | 0 | 3.1 | kill_all | 0 | - |
       | the same trouble twice | 38 | crash_primary | - | 0 | 4.5 | crash_primary | 0 | - |
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -22,7 +22,7 @@
 _MOST_FAULTS: Final = 4
 
 #: Variants that a hunted fault may have.
-_VARIANTS: Final = ('', 'dark', 'reset', 'silent', 'busy', 'some', 'slow', 'late', 'deaf', 'replicas', 'all')
+_VARIANTS: Final = ('', 'dark', 'reset', 'silent', 'busy', 'some', 'slow', 'late', 'deaf', 'replicas', 'all', 'peers')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -178,6 +178,12 @@
     await world.restart(_instance(world, fault), fault.for_s)
 
 
+async def _freeze(world: World, fault: Fault) -> None:
+    """Let an instance stand still; its steady clock runs on."""
+    world.loop.freeze(_instance(world, fault), fault.for_s)
+    await asyncio.sleep(fault.for_s)
+
+
 async def _kill_all(world: World, fault: Fault) -> None:
     await asyncio.gather(*(world.restart(name, fault.for_s) for name in sorted(world.zones_by_instance)))
 
@@ -295,6 +301,7 @@
 
 _ACTIONS: Final[dict[str, Callable[[World, Fault], Awaitable[None]]]] = {
     'kill': _kill,
+    'freeze': _freeze,
     'kill_all': _kill_all,
     'stop': _stop,
     'crash_primary': _crash_primary,
--- a/packages/fescuequay-emulator/fescuequay_emulator/virtual.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/virtual.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextvars
 import selectors
-from collections.abc import Coroutine, Generator
-from typing import Any, Final
+from collections.abc import Callable, Coroutine, Generator
+from typing import Any, Final, TypeVarTuple, Unpack
+
+Args = TypeVarTuple('Args')
 
 #: Process that the running code belongs to in the model; tasks inherit it.
 owner: contextvars.ContextVar[str] = contextvars.ContextVar('owner', default='world')
@@ -29,6 +31,38 @@
         return []
 
 
+def _owner_in(context: contextvars.Context | None) -> str:
+    return context.get(owner, 'world') if context is not None else owner.get()
+
+
+class _Timer:
+    """Fires once its process runs, unless it has been cancelled by then."""
+
+    def __init__(
+        self,
+        loop: 'VirtualLoop',
+        name: str,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        context: contextvars.Context | None,
+    ) -> None:
+        self.handle: asyncio.TimerHandle | None = None
+        self._loop = loop
+        self._name = name
+        self._callback = callback
+        self._args = args
+        self._context = context
+
+    def fire(self) -> None:
+        """Call back, now or when the process wakes."""
+        if self.handle is not None and self.handle.cancelled():
+            return
+        if self._loop.thaws_at(self._name) > self._loop.time():
+            self._loop.call_soon(self.fire, context=self._context)
+        else:
+            self._callback(*self._args)
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """A loop in virtual time that knows which task belongs to which process."""
 
@@ -36,12 +70,49 @@
         self._jumping: Final = _JumpingSelector()
         super().__init__(self._jumping)
         self._tasks_by_owner: dict[str, dict[asyncio.Task[Any], None]] = {}
+        self._frozen_until: dict[str, float] = {}
         self.set_task_factory(self._make_task)
 
     def time(self) -> float:
         """:returns: Virtual time, in seconds."""
         return self._jumping.now
 
+    def freeze(self, name: str, for_s: float) -> None:
+        """Let a process stand still: what would happen in it happens when it wakes, in the same order.
+
+        :param name: The process.
+        :param for_s: For how long, in seconds.
+        """
+        self._frozen_until[name] = self.time() + for_s
+
+    def thaws_at(self, name: str) -> float:
+        """:returns: When a process that stands still goes on; a past time for others."""
+        return self._frozen_until.get(name, 0.0)
+
+    def call_soon(
+        self,
+        callback: Callable[[Unpack[Args]], object],
+        *args: Unpack[Args],
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
+        """:returns: The handle; the call of a process that stands still waits until it wakes."""
+        thaws_at = self.thaws_at(_owner_in(context))
+        if thaws_at > self.time():
+            return self.call_at(thaws_at, callback, *args, context=context)
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[Unpack[Args]], object],
+        *args: Unpack[Args],
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """:returns: The handle; a timer of a process that stands still fires when it wakes."""
+        timer = _Timer(self, _owner_in(context), callback, args, context)
+        timer.handle = super().call_at(when, timer.fire, context=context)
+        return timer.handle
+
     def kill(self, name: str) -> None:
         """Cancel every task of a process, as SIGKILL ends it."""
         for task in tuple(self._tasks_by_owner.pop(name, {})):
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -153,6 +153,8 @@
         async def go() -> Answer:
             name = self._world.names_by_address.get(address, address)
             await self._world.network.travel(self._caller, name)
+            # The question waits at a process that stands still.
+            await asyncio.sleep(max(self._world.loop.thaws_at(name) - self._world.loop.time(), 0))
             instance = self._world.instances.get(name)
             if instance is None:
                 raise ConnectionRefusedError(address)
