--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -6,9 +6,7 @@
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Final, TypeVar
-
-import msgspec
+from typing import Final
 
 from fescuequay_core.relay.model import (
     Configuration,
@@ -23,35 +21,19 @@
 from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
 from fescuequay_emulator.judge import Broken, Change, Judge
+from fescuequay_emulator.links import ModelPeers, ModelPromoter
 from fescuequay_emulator.network import Cut, Network
 from fescuequay_emulator.table import PLACE, Entries, ModelFeed, ModelTable, Store
 from fescuequay_emulator.targets import Commit, ModelDriver, ModelTarget
 from fescuequay_emulator.virtual import VirtualLoop, owner
 from fescuequay_entry.relay.instance import Adapters, Instance
-from fescuequay_entry.relay.messages import (
-    CloseAnswer,
-    CloseRequest,
-    ExchangeAnswer,
-    ExchangeRequest,
-    FetchAnswer,
-    FetchRequest,
-    News,
-    SupplyAnswer,
-    SupplyRequest,
-)
-from fescuequay_entry.relay.ports import FETCH_TIMEOUT_S, PEER_TIMEOUT_S, PeerError, Peers, Promoter, PromoteResult
 from fescuequay_entry.relay.settings import RelaySettings
 
-Answer = TypeVar('Answer')
-
 ZONES: Final = ('north', 'south', 'east', 'west')
 
 #: Heartbeats without which the registry drops a target, in seconds.
 _EXPIRY_S: Final = 3.6
 
-#: Bytes of the headers of a request and its answer, as the real client and listener write them.
-_HEADER_BYTES: Final = 330
-
 #: Time between two looks at what every instance may do, in seconds: well under an exchange.
 _LOOK_S: Final = 0.02
 
@@ -89,112 +71,6 @@
     counts_bytes: bool = False
 
 
-class ModelPeers(Peers):
-    """Carries messages between instances through the network.
-
-    :param world: The deployment.
-    :param caller: The instance that sends.
-    """
-
-    def __init__(self, world: 'World', caller: str) -> None:
-        self._world = world
-        self._caller = caller
-
-    async def exchange(self, address: str, request: ExchangeRequest) -> ExchangeAnswer:
-        """:returns: The coordinator's answer."""
-
-        async def answer(instance: Instance) -> ExchangeAnswer:
-            return instance.membership.answer_exchange(request)
-
-        given = await self._ask(address, answer, PEER_TIMEOUT_S)
-        self._count('exchange', request, given)
-        return given
-
-    async def supply(self, address: str, request: SupplyRequest) -> SupplyAnswer:
-        """:returns: Tokens."""
-
-        async def answer(instance: Instance) -> SupplyAnswer:
-            return instance.membership.answer_supply(request)
-
-        given = await self._ask(address, answer, PEER_TIMEOUT_S)
-        self._count('supply', request, given)
-        return given
-
-    async def fetch(self, address: str, request: FetchRequest) -> FetchAnswer:
-        """:returns: The peer's configuration."""
-
-        async def answer(instance: Instance) -> FetchAnswer:
-            return instance.configurations.answer_fetch(request)
-
-        given = await self._ask(address, answer, FETCH_TIMEOUT_S)
-        self._count('fetch', request, given)
-        return given
-
-    async def close(self, address: str, request: CloseRequest, timeout_s: float) -> CloseAnswer:
-        """:returns: The confirmation."""
-        return await self._ask(address, lambda instance: instance.membership.answer_close(request), timeout_s)
-
-    async def tell(self, address: str, news: News) -> None:
-        """Tell a peer that something changed."""
-
-        async def take(instance: Instance) -> None:
-            instance.membership.take_news(news)
-
-        await self._ask(address, take, PEER_TIMEOUT_S)
-
-    def _count(self, kind: str, request: object, answer: object) -> None:
-        """Add up what crosses between instances, as the real client writes it."""
-        if self._world.plan.counts_bytes:
-            size = len(msgspec.json.encode(request)) + len(msgspec.json.encode(answer)) + _HEADER_BYTES
-            self._world.control[kind] += size
-            self._world.messages[kind] += 1
-
-    async def _ask(self, address: str, question: Callable[[Instance], Awaitable[Answer]], timeout_s: float) -> Answer:
-        async def go() -> Answer:
-            name = self._world.names_by_address.get(address, address)
-            await self._world.network.travel(self._caller, name)
-            # The question waits at a process that stands still.
-            await asyncio.sleep(max(self._world.loop.thaws_at(name) - self._world.loop.time(), 0))
-            instance = self._world.instances.get(name)
-            if instance is None:
-                raise ConnectionRefusedError(address)
-            answer = await question(instance)
-            await self._world.network.travel(name, self._caller)
-            return answer
-
-        try:
-            return await asyncio.wait_for(go(), timeout_s)
-        except (TimeoutError, ConnectionRefusedError) as error:
-            raise PeerError(f'{address}: {type(error).__name__}') from error
-
-
-class ModelPromoter(Promoter):
-    """Carries out promotions.
-
-    :param world: The deployment.
-    :param caller: The instance that asks.
-    """
-
-    def __init__(self, world: 'World', caller: str) -> None:
-        self._world = world
-        self._caller = caller
-
-    async def promote(self, service: ServiceId, target: TargetId, holder: InstanceId, token: int) -> PromoteResult:
-        """Make a target lead the next term."""
-        try:
-            await asyncio.wait_for(self._world.network.travel(self._caller, PLACE), 1.0)
-        except (TimeoutError, ConnectionRefusedError):
-            return PromoteResult.UNKNOWN
-        self._world.promotions.append((self._world.loop.time(), holder, token, target))
-        found = self._world.targets.get(target)
-        if found is None or not found.is_alive:
-            return PromoteResult.REFUSED
-        self._world.note_permits(service, target)
-        if found.role is not Role.PRIMARY:
-            self._world.loop.call_later(self._world.plan.promote_s, self._world.make_lead, target)
-        return PromoteResult.ACCEPTED
-
-
 class World:
     """A deployment in virtual time.
 
