Tell truly whether a read ran, what is left of a rate, and what a stopping instance did

(1) A read that a target had failed, or whose connection had ended after it was sent, was refused with 'nothing ran' when no other target was left; of two attempts at a read the later refusal decided. Now the attempt that may have run does. (2) In the last 0.2 s of a planned stop statements were sent with no time left: told 'may have run' though they were never sent, and counted against the target; one that was sent just before was cut off. Now what was not sent 0.5 s before the end is refused as 'stopping', and what was sent is answered until 0.05 s before it. A statement whose time is used up before it is sent is refused as not run. (3) 'has used its rate' was said also where nobody had answered or only the even part was used up; that is rate_unknown now.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -129,3 +129,14 @@
       | sent                | tokens | left |
       | sent to no target   | 0      | 3    |
       | sent to some target | 1      | 2    |
+
+  Scenario: A part of the limits is left to one supplier at a time
+    Given an instance that has left its part to one supplier
+    When it would turn to another one that coordinates now
+    Then it asks that one for nothing until the first has let the part go
+    And then it asks it
+
+  Scenario: A part that was left to a silent supplier comes back by time alone
+    Given an instance that has left its part to one supplier
+    When the supplier goes silent and it would turn to another one
+    Then it asks that one for nothing until the supplier surely counts on it no more
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -113,6 +113,7 @@
       | the reset of session values | 50 | 53 | compact | - | 0 | pinned |
       | the check of the key | 50 | 51 | withdraw | - | 0 | config |
       | the limit of the token bucket | 50 | 53 | flood | - | 0 | quota |
+      | the sending of a write only once | 50 | 53 | lose_answers | - | 0.3 | twice, refused |
       | the promise about sent writes | 50 | 55 | lose_answers | - | 0.3 | refused, twice |
 
   Scenario Outline: Many instances with few sessions of each organisation, <trouble>
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -62,6 +62,17 @@
         raise
 
 
+async def _send_twice(original: Callable[..., Any], *arguments: Any) -> Any:
+    try:
+        return await original(*arguments)
+    except Refused as refusal:
+        if refusal.reason in {refusals.TIMED_OUT, refusals.LOST}:
+            runner, work, placed, *rest = arguments
+            again = await runner.place(work, needs_primary=True, tried=set())
+            return await original(runner, work, again, *rest)
+        raise
+
+
 def _patches(guard: str) -> Any:
     originals = {'required': Samples.required, 'admit': Session._admit, 'write': Runner._write_once}
     patch = mock.patch.object
@@ -76,6 +87,9 @@
         'the reset of session values': lambda: patch(Lease, 'take_on', _take_on_without_reset),
         'the check of the key': lambda: patch(Session, '_admit', _admit_by_first_configuration(originals['admit'])),
         'the limit of the token bucket': lambda: patch(Buckets, 'take', lambda *_, is_retry=False: (Take.TAKEN, 0.0)),
+        'the sending of a write only once': lambda: patch(
+            Runner, '_write_once', lambda *arguments: _send_twice(write_once, *arguments)
+        ),
         'the promise about sent writes': lambda: patch(
             Runner, '_write_once', lambda *arguments: _promise_for_sent(write_once, *arguments)
         ),
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -8,10 +8,16 @@
 
 from fescuequay_core.relay.history import History
 from fescuequay_core.relay.model import MemberRecord, OrganisationPolicy
+from fescuequay_core.relay.pace import contact_s
 from fescuequay_core.relay.spread import parent_of
 from fescuequay_core.relay.tokenpool import TokenPool
 from fescuequay_core.types import InstanceId, OrganisationId
+from fescuequay_emulator.virtual import VirtualLoop
 from fescuequay_emulator.world import ZONES, World
+from fescuequay_entry.relay.board import Board, Self
+from fescuequay_entry.relay.messages import SupplyAnswer, SupplyRequest
+from fescuequay_entry.relay.ports import PeerError
+from fescuequay_entry.relay.supply import Supply
 
 RATE_PER_S = 80.0
 MEMBERS = 4
@@ -123,3 +129,70 @@
 def step_in_time(context: Any, limit: float) -> None:
     assert len(context.near) >= 2
     assert context.took_s <= limit, context.took_s
+
+
+class SupplyingPeers:
+    """Answers requests for tokens, unless it is silent, and remembers them."""
+
+    def __init__(self) -> None:
+        self.is_silent = False
+        self.requests: list[tuple[str, SupplyRequest]] = []
+
+    async def supply(self, address: str, request: SupplyRequest) -> SupplyAnswer:
+        self.requests.append((address, request))
+        await asyncio.sleep(0.01)
+        if self.is_silent:
+            raise PeerError('silent')
+        return SupplyAnswer()
+
+
+@given('an instance that has left its part to one supplier')
+def step_left_part(context: Any) -> None:
+    context.loop = VirtualLoop()
+    asyncio.set_event_loop(context.loop)
+    board = Board(Self(InstanceId('a'), 'a1', 'north', 'a:1'), context.loop.time)
+    context.supplying = SupplyingPeers()
+    coordinator: Any = None
+    context.supply = Supply(board, context.supplying, coordinator)
+    assert context.supply.request('first:1', context.loop.time()) is not None
+
+
+@when('it would turn to another one that coordinates now')
+def step_turn(context: Any) -> None:
+    async def story() -> None:
+        context.asked_at_once = context.supply.request('second:1', context.loop.time())
+        await asyncio.sleep(0.05)
+        context.asked_later = context.supply.request('second:1', context.loop.time())
+
+    context.loop.run_until_complete(story())
+
+
+@then('it asks that one for nothing until the first has let the part go')
+def step_let_go(context: Any) -> None:
+    assert context.asked_at_once is None
+    assert [(address, request.is_release) for address, request in context.supplying.requests] == [('first:1', True)]
+
+
+@then('then it asks it')
+def step_asks(context: Any) -> None:
+    assert context.asked_later is not None and not context.asked_later.is_release
+
+
+@when('the supplier goes silent and it would turn to another one')
+def step_supplier_silent(context: Any) -> None:
+    async def story() -> None:
+        context.supplying.is_silent = True
+        context.turned_at = None
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            if context.supply.request('second:1', context.loop.time()) is not None:
+                context.turned_at = context.loop.time()
+                return
+
+    context.loop.run_until_complete(story())
+
+
+@then('it asks that one for nothing until the supplier surely counts on it no more')
+def step_by_time(context: Any) -> None:
+    assert context.turned_at is not None
+    assert contact_s(1) <= context.turned_at <= contact_s(1) + 0.02, context.turned_at
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -26,7 +26,8 @@
 from fescuequay_emulator.virtual import VirtualLoop
 from fescuequay_entry.relay.board import Board, Self
 from fescuequay_entry.relay.pool import Pools
-from fescuequay_entry.relay.routes import Runner, Work
+from fescuequay_entry.relay.routes import Runner
+from fescuequay_entry.relay.work import Work
 
 SERVICE = ServiceId('menus')
 PRIMARY = TargetId('t1')
@@ -62,7 +63,7 @@
         runner = Runner(board, Pools(board, None))  # type: ignore[arg-type]
         placing = asyncio.ensure_future(runner.place(context.waiting, needs_primary=context.needs_primary, tried=set()))
         await asyncio.sleep(0.1)
-        board.answer_by = board.clock() + seconds
+        board.refuse_by = board.clock() + seconds
         context.stopped_at = board.clock()
         try:
             await placing
--- /dev/null
+++ b/features/steps/truth_steps.py
@@ -0,0 +1,141 @@
+"""Steps that script where an operation is placed and how its statements end, in virtual time."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.model import (
+    Consistency,
+    DatabaseName,
+    Route,
+    SessionState,
+    Statement,
+    TargetDescription,
+)
+from fescuequay_core.relay.refusals import Refused
+from fescuequay_core.types import InstanceId, OrganisationId, RequestId, Role, ServiceId, TargetId, Verdict
+from fescuequay_emulator.load import read, write
+from fescuequay_emulator.virtual import VirtualLoop
+from fescuequay_entry.relay.board import Board, Self
+from fescuequay_entry.relay.pool import Lease, Pools
+from fescuequay_entry.relay.ports import NotSent, Outcome, TargetLost
+from fescuequay_entry.relay.routes import Runner
+from fescuequay_entry.relay.work import Placed, Work
+
+TARGET = TargetDescription(TargetId('t1'), 1, ServiceId('s'), 't1:9', 'north', is_draining=False, role=Role.REPLICA)
+ROUTE = Route('r', DatabaseName('d'), ServiceId('s'), Consistency.SESSION, 2.0, 1.0, 0.5, 1, is_open=True)
+
+
+class SlowConnection:
+    """A connection that answers every statement after a while."""
+
+    def __init__(self, after_s: float) -> None:
+        self.sent = 0
+        self.is_open = True
+        self._after_s = after_s
+
+    async def execute(self, *_: Any, name: str | None, after: Any) -> Outcome:
+        self.sent += 1
+        await asyncio.sleep(self._after_s)
+        return Outcome((), 'mark', None, SessionState.IDLE, None)
+
+    def close(self) -> None:
+        self.is_open = False
+
+
+class OneTarget(Runner):
+    """Places the first attempt on a given connection, and no other one anywhere."""
+
+    def __init__(self, board: Board, connection: Any, ending: str = '') -> None:
+        super().__init__(board, Pools(board, None))  # type: ignore[arg-type]
+        self._places = 1
+        self._connection = connection
+        self._ending = ending
+
+    async def place(self, work: Work, *, needs_primary: bool, tried: set[TargetId]) -> Placed:
+        if self._places == 0:
+            raise Refused(refusals.NO_TARGET, retry_after_s=0.2)
+        self._places -= 1
+        pool: Any = None
+        return Placed(Lease(self._connection, TARGET, work.organisation, pool), None, None)
+
+    def release(self, placed: Placed, *, is_clean: bool) -> None:
+        """There is no pool."""
+
+    async def execute(
+        self, work: Work, placed: Placed, request: RequestId, statement: Statement, shape: tuple[str, bool] | None
+    ) -> Outcome:
+        if self._ending.startswith('is silent'):
+            await asyncio.sleep(0.4)
+        if 'before it was sent' in self._ending:
+            raise NotSent('reset')
+        if 'ended' in self._ending or 'ends' in self._ending:
+            raise TargetLost('reset')
+        if self._ending:
+            reason = refusals.FAILED if 'failed' in self._ending else refusals.BEHIND
+            return Outcome((), '', Refused(reason), SessionState.IDLE, None)
+        return await super().execute(work, placed, request, statement, shape)
+
+
+def _prepare(context: Any) -> None:
+    context.loop = VirtualLoop()
+    context.truth_board = Board(Self(InstanceId('a'), 'a1', 'north', 'a:1'), context.loop.time)
+
+
+def _run(context: Any, runner: Runner, statement: Statement) -> None:
+    async def story() -> None:
+        work = Work(ROUTE, OrganisationId('o'), context.loop.time(), {}, None)
+        try:
+            context.outcome = (await runner.run_single(work, RequestId('q'), statement, None))[0]
+        except Refused as refusal:
+            context.refusal = refusal
+
+    asyncio.set_event_loop(context.loop)
+    context.outcome = None
+    context.refusal = None
+    context.loop.run_until_complete(story())
+    context.loop.close()
+
+
+@given('a read whose first target {ending}')
+def step_first(context: Any, ending: str) -> None:
+    _prepare(context)
+    context.runner = OneTarget(context.truth_board, None, ending)
+
+
+@when('no other target can run it')
+def step_alone(context: Any) -> None:
+    _run(context, context.runner, read(1))
+
+
+@then('the caller is told {verdict}')
+def step_told(context: Any, verdict: str) -> None:
+    assert context.refusal is not None and context.refusal.reason.verdict is Verdict(verdict), context.refusal
+
+
+@given('a {kind} at a connection that answers after {after_s:g} s')
+def step_slow(context: Any, kind: str, after_s: float) -> None:
+    _prepare(context)
+    context.connection = SlowConnection(after_s)
+    context.statement = write(1, 'v') if kind == 'write' else read(1)
+
+
+@when('it is sent {before_s:g} s before the instance begins to refuse')
+def step_sent(context: Any, before_s: float) -> None:
+    board = context.truth_board
+    board.refuse_by = before_s
+    board.answer_by = before_s + 0.5
+    _run(context, OneTarget(board, context.connection), context.statement)
+
+
+@then('it is answered')
+def step_answered(context: Any) -> None:
+    assert context.outcome is not None and context.outcome.signature == 'mark', context.refusal
+
+
+@then('it is refused as stopping and not run')
+def step_stopping(context: Any) -> None:
+    assert context.refusal is not None and context.refusal.reason is refusals.STOPPING, context.refusal
+    assert context.refusal.retry_after_s is not None and not context.connection.sent
--- a/packages/fescuequay-core/fescuequay_core/relay/buckets.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/buckets.py
@@ -35,6 +35,7 @@
     TAKEN = 'taken'
     ASK = 'ask'
     DRY = 'dry'
+    ALONE = 'alone'
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,7 +87,7 @@
         :param longest_wait_s: Longest wait for a token of the even part.
         :param is_retry: Whether the operation asked before.
         :returns: Taken, and how long to wait before it is used; or whether the coordinator may have one; or
-            that the rate is used up, and when to come back.
+            that the rate is used up, or without a coordinator the even part of it, and when to come back.
         """
         policy = self._policies_by_organisation.get(organisation)
         if policy is None:
@@ -190,7 +191,7 @@
         rate_per_s = policy.rate_per_s / self._members if self._members else 0.0
         wait_s = max(1 - stock.floor_level, 0) / rate_per_s if rate_per_s > 0 else 1.0
         if wait_s > longest_wait_s:
-            return Take.DRY, wait_s
+            return Take.ALONE, wait_s
         stock.floor_level -= 1
         return Take.TAKEN, wait_s
 
--- a/packages/fescuequay-core/fescuequay_core/relay/refusals.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/refusals.py
@@ -55,6 +55,7 @@
 MISPLACED: Final = _not_run('misplaced', Promise.MALFORMED, 'the statement does not fit the state of the transaction')
 UNKNOWN_STATEMENT: Final = _not_run('unknown_statement', Promise.NO_SUCH_STATEMENT, 'no such prepared statement')
 RATE_EXCEEDED: Final = _not_run('rate_exceeded', Promise.OVERLOADED, 'the organisation has used its rate')
+RATE_UNKNOWN: Final = _not_run('rate_unknown', Promise.OVERLOADED, 'nobody says now what is left of the rate')
 QUEUE_FULL: Final = _not_run('queue_full', Promise.OVERLOADED, 'the statement could not be run in time')
 NO_PRIMARY: Final = _not_run('no_primary', Promise.OVERLOADED, 'the service has no confirmed primary now')
 NO_TARGET: Final = _not_run('no_target', Promise.OVERLOADED, 'no target can serve the read now')
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -117,11 +117,13 @@
     counts = [int(text) for text in sizes.split(',')]
     click.echo('instances  served  exchange KB/s  supply KB/s  all messages/s at the supplier  table calls/s')
     for count, figures in zip(counts, experiments.scale(counts, seconds, jobs), strict=True):
-        kilobytes = {kind: size / 1000 / figures.seconds / count for kind, size in figures.control_bytes.items()}
+        per_instance = 1000 * figures.seconds * count
+        kilobytes = {kind: size / per_instance for kind, size in figures.control_bytes.items()}
         messages = sum(figures.control_messages.values()) / figures.seconds
         click.echo(
-            f'{count:9}  {figures.served / max(figures.asked, 1):6.3f}  {kilobytes.get("exchange", 0):13.2f}  '
-            f'{kilobytes.get("supply", 0):11.2f}  {messages:32.0f}  {figures.store_calls / figures.seconds:13.1f}'
+            f'{count:9}  {figures.served / max(figures.asked, 1):6.3f}  {kilobytes.get("ExchangeRequest", 0):13.2f}  '
+            f'{kilobytes.get("SupplyRequest", 0):11.2f}  {messages:32.0f}  '
+            f'{figures.store_calls / figures.seconds:13.1f}'
         )
 
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/links.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/links.py
@@ -51,33 +51,17 @@
 
     async def exchange(self, address: str, request: ExchangeRequest) -> ExchangeAnswer:
         """:returns: The coordinator's answer."""
-
-        async def answer(instance: Instance) -> ExchangeAnswer:
-            return instance.membership.answer_exchange(request)
-
-        given = await self._ask(address, answer, PEER_TIMEOUT_S)
-        self._count('exchange', request, given)
-        return given
+        return await self._counted(address, request, lambda one: one.membership.answer_exchange(request))
 
     async def supply(self, address: str, request: SupplyRequest) -> SupplyAnswer:
         """:returns: Tokens."""
-
-        async def answer(instance: Instance) -> SupplyAnswer:
-            return instance.membership.answer_supply(request)
-
-        given = await self._ask(address, answer, PEER_TIMEOUT_S)
-        self._count('supply', request, given)
-        return given
+        return await self._counted(address, request, lambda one: one.membership.answer_supply(request))
 
     async def fetch(self, address: str, request: FetchRequest) -> FetchAnswer:
         """:returns: The peer's configuration."""
-
-        async def answer(instance: Instance) -> FetchAnswer:
-            return instance.configurations.answer_fetch(request)
-
-        given = await self._ask(address, answer, FETCH_TIMEOUT_S)
-        self._count('fetch', request, given)
-        return given
+        return await self._counted(
+            address, request, lambda one: one.configurations.answer_fetch(request), FETCH_TIMEOUT_S
+        )
 
     async def close(self, address: str, request: CloseRequest, timeout_s: float) -> CloseAnswer:
         """:returns: The confirmation."""
@@ -91,12 +75,25 @@
 
         await self._ask(address, take, PEER_TIMEOUT_S)
 
-    def _count(self, kind: str, request: object, answer: object) -> None:
-        """Add up what crosses between instances, as the real client writes it."""
+    async def _counted(
+        self,
+        address: str,
+        request: object,
+        question: Callable[[Instance], Answer],
+        timeout_s: float = PEER_TIMEOUT_S,
+    ) -> Answer:
+        """Ask, and add up what crosses between instances, as the real client writes it."""
+
+        async def answer(instance: Instance) -> Answer:
+            return question(instance)
+
+        given = await self._ask(address, answer, timeout_s)
         if self._world.plan.counts_bytes:
-            size = len(msgspec.json.encode(request)) + len(msgspec.json.encode(answer)) + _HEADER_BYTES
+            kind = type(request).__name__
+            size = len(msgspec.json.encode(request)) + len(msgspec.json.encode(given)) + _HEADER_BYTES
             self._world.control[kind] += size
             self._world.messages[kind] += 1
+        return given
 
     async def _ask(self, address: str, question: Callable[[Instance], Awaitable[Answer]], timeout_s: float) -> Answer:
         async def go() -> Answer:
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/admission.py
@@ -0,0 +1,88 @@
+"""Decides whether an operation may begin: route, key and rate under what is in force when it arrives."""
+
+import asyncio
+from typing import Final
+
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.buckets import Take
+from fescuequay_core.relay.model import Credential, DatabaseName, Route
+from fescuequay_core.relay.refusals import Refused
+from fescuequay_core.types import Instant, OrganisationId
+from fescuequay_entry.relay.board import Board
+from fescuequay_entry.relay.work import Work
+
+#: Share of the aimed time for which an operation waits for its organisation's next token. A coordinator that has
+#: none says so in its first answer; only one that is slow to answer costs as much.
+_TOKEN_SHARE: Final = 0.4
+
+#: Least time to come back after for want of a token, in seconds: a few exchanges with the coordinator.
+_RETRY_TOKEN_S: Final = 0.05
+
+#: When to come back to an instance that stops, in seconds: the balancer has sent new callers elsewhere by then.
+_RETRY_STOPPING_S: Final = 0.2
+
+#: Organisation that targets are told on open routes, whose callers may have none.
+NOBODY: Final = OrganisationId('-')
+
+
+def admit(board: Board, database: DatabaseName, credential: Credential) -> tuple[Route, OrganisationId]:
+    """Check a route and a key under the configuration in force now.
+
+    :param board: The blackboard.
+    :param database: Database that the session opened.
+    :param credential: Key of the session.
+    :returns: The route, and the organisation that the key belongs to.
+    :raises Refused: Either is not known.
+    """
+    configuration = board.configuration
+    if configuration is None:
+        raise Refused(refusals.NO_CONFIGURATION, retry_after_s=1.0)
+    route = configuration.routes_by_database.get(database)
+    if route is None:
+        raise Refused(refusals.UNKNOWN_DATABASE)
+    organisation = configuration.organisation_ids_by_credential.get(credential)
+    if organisation is None:
+        if not route.is_open:
+            raise Refused(refusals.UNKNOWN_KEY)
+        organisation = NOBODY
+    return route, organisation
+
+
+async def take_token(board: Board, route: Route, organisation: OrganisationId, began_at: Instant) -> None:
+    """Take a token of an organisation's rate, waiting a little where one may come.
+
+    :param board: The blackboard.
+    :param route: Route of the operation.
+    :param organisation: The organisation.
+    :param began_at: When the operation arrived.
+    :raises Refused: The rate is used up, or nobody said in time whether it is, or the instance stops.
+    """
+    if began_at >= board.refuse_by:
+        raise Refused(refusals.STOPPING, retry_after_s=_RETRY_STOPPING_S)
+    until = board.may_wait_until(began_at + route.aim_s * _TOKEN_SHARE)
+    taken, wait_s = board.buckets.take(organisation, board.clock(), until - board.clock())
+    board.buckets.wait(organisation, 1)
+    try:
+        while taken is Take.ASK and board.clock() < until:
+            board.changes.on_next('demand')
+            await board.changed(until - board.clock())
+            now = board.clock()
+            taken, wait_s = board.buckets.take(organisation, now, until - now, is_retry=True)
+    finally:
+        board.buckets.wait(organisation, -1)
+    if taken is Take.DRY:
+        detail = f'{organisation} has used its rate'
+        raise Refused(refusals.RATE_EXCEEDED, detail, max(wait_s, _RETRY_TOKEN_S))
+    if taken is not Take.TAKEN:
+        detail = (
+            f'{organisation}: {"nothing left of its even part here" if taken is Take.ALONE else "no answer in time"}'
+        )
+        raise Refused(refusals.RATE_UNKNOWN, detail, max(wait_s, _RETRY_TOKEN_S))
+    if wait_s > 0:
+        await asyncio.sleep(wait_s)
+
+
+def return_token(board: Board, work: Work) -> None:
+    """Return the token of a refused operation, unless a statement of it was sent: a limit counts what targets run."""
+    if not work.is_sent:
+        board.buckets.give_back(work.organisation, board.clock())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -65,6 +65,8 @@
         self.buckets = Buckets()
         self.duty = Duty(own.instance, own.incarnation)
         self.is_stopping = False
+        # At a planned stop: what was not sent by then is refused, and what was sent is answered by then.
+        self.refuse_by: Instant = float('inf')
         self.answer_by: Instant = float('inf')
         self.changes: Subject[str] = Subject()
         self.in_flight_writes: dict[ServiceId, int] = {}
@@ -137,9 +139,9 @@
                 continue
             yield target, is_leader
 
-    def by_stop(self, until: Instant) -> Instant:
-        """:returns: The end of a wait, but for a planned stop: what waits then is answered before the process ends."""
-        return min(until, self.answer_by)
+    def may_wait_until(self, until: Instant) -> Instant:
+        """:returns: The end of a wait for something that is not sent yet, a planned stop considered."""
+        return min(until, self.refuse_by)
 
     def set_members(self, members_by_id: dict[InstanceId, MemberRecord]) -> None:
         """Take over the list of instances."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -44,10 +44,13 @@
 
 #: Share of the stop time in which open transactions may end, and in which the process ends at the latest.
 _DRAIN_SHARE: Final = 0.45
-_STOP_SHARE: Final = 0.75
+_STOP_SHARE: Final = 0.8
 
-#: Time before the end at which whatever still waits is refused, in seconds: a few turns of the loop.
-_LAST_ANSWERS_S: Final = 0.2
+#: Time before the end at which whatever was not sent is refused, in seconds: several statements' time.
+_LAST_STATEMENTS_S: Final = 0.5
+
+#: Time before the end at which whatever was sent is answered, in seconds: a few turns of the loop.
+_LAST_ANSWERS_S: Final = 0.05
 
 #: Time between two looks at what is still open while stopping, in seconds.
 _LOOK_S: Final = 0.05
@@ -154,6 +157,7 @@
         giving_up = asyncio.ensure_future(self.membership.give_up_duty())
         drain_until = began_at + self.settings.stop_s * _DRAIN_SHARE
         end_at = began_at + self.settings.stop_s * _STOP_SHARE
+        self.board.refuse_by = end_at - _LAST_STATEMENTS_S
         self.board.answer_by = end_at - _LAST_ANSWERS_S
         while self.board.clock() < drain_until and self._sessions:
             await asyncio.sleep(_LOOK_S)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/routes.py
@@ -1,56 +1,22 @@
 """Runs statements at targets: the primary under a permit, replicas where the data is fresh enough."""
 
 import asyncio
-import dataclasses
 from collections.abc import Coroutine
 from typing import Any, Final, TypeVar
 
-from fescuequay_core.relay import placement, refusals
+from fescuequay_core.relay import refusals
 from fescuequay_core.relay.freshness import Sample
-from fescuequay_core.relay.model import (
-    Consistency,
-    LeaderRecord,
-    LogPosition,
-    Route,
-    SessionState,
-    Statement,
-    StatementKind,
-    TargetDescription,
-)
+from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind
 from fescuequay_core.relay.refusals import Promise, Refused
-from fescuequay_core.types import Instant, LeaderState, OrganisationId, RequestId, TargetId, Verdict
+from fescuequay_core.types import Instant, RequestId, TargetId, Verdict
 from fescuequay_entry.relay.board import Board, log_event
-from fescuequay_entry.relay.pool import Lease, Pools
+from fescuequay_entry.relay.choosing import BUSY_PAUSE_S, FAILOVER_SHARE, RECHECK_S, RETRY_READ_S, Chooser
+from fescuequay_entry.relay.pool import Pools
 from fescuequay_entry.relay.ports import NotSent, Outcome, TargetLost
+from fescuequay_entry.relay.work import Choice, Doubt, InFlight, Placed, Work
 
 Ended = TypeVar('Ended')
 
-#: Share of a statement's time limit for which it may wait for a new primary that is on its way. The rest is
-#: left for the statement itself.
-_FAILOVER_SHARE: Final = 0.45
-
-#: Share of the aimed time after which waiting without a known end is given up.
-_SHORT_SHARE: Final = 0.25
-
-#: Time since its first failure within which a primary is expected to be replaced or back, in seconds. Longer
-#: troubles are cuts that no promotion can mend, and callers are better told at once.
-_EXPECTED_FAILOVER_S: Final = 2.5
-
-#: When to come back after a refusal for want of a primary, in seconds: a promotion takes about as long.
-_RETRY_PRIMARY_S: Final = 0.5
-
-#: Share of a statement's time limit for which a read may wait for a target that can run it.
-_READ_SHARE: Final = 0.4
-
-#: When to come back after a refusal of a read, in seconds: several statements' time.
-_RETRY_READ_S: Final = 0.2
-
-#: Time after which a wait looks again although nothing was announced, in seconds: pauses end unannounced.
-_RECHECK_S: Final = 0.05
-
-#: Pause before a full target is asked again, in seconds: about one statement's time.
-_BUSY_PAUSE_S: Final = 0.02
-
 #: Silence after which a read is sent a second time: at least this, and this many times the usual time.
 _HEDGE_S: Final = 0.12
 _HEDGE_FACTOR: Final = 4.0
@@ -59,59 +25,6 @@
 _SILENCE_S: Final = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class Work:
-    """One operation on its way.
-
-    :param route: Route in force when it arrived.
-    :param organisation: Organisation that it runs for.
-    :param began_at: When its first byte had arrived.
-    :param values: Session values that must be set.
-    :param position: Latest commit of the session.
-    :param is_sent: Whether a statement of it was sent to a target, which may have run it.
-    """
-
-    route: Route
-    organisation: OrganisationId
-    began_at: Instant
-    values: dict[str, str]
-    position: LogPosition | None
-    is_sent: bool = False
-
-    @property
-    def until(self) -> Instant:
-        """:returns: When the time limit of a statement that arrived now ends."""
-        return self.began_at + self.route.timeout_s
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
-    """A target that may run an operation now.
-
-    :param record: Leader record under whose permit it is used; nothing at a replica.
-    :param target: The target.
-    :param after: Position that it must have reached.
-    """
-
-    record: LeaderRecord | None
-    target: TargetDescription
-    after: LogPosition | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
-    """A connection that is ready for an operation.
-
-    :param lease: The connection.
-    :param record: Leader record under whose permit it is used; nothing at a replica.
-    :param after: Position that the target must have reached.
-    """
-
-    lease: Lease
-    record: LeaderRecord | None
-    after: LogPosition | None
-
-
 class Runner:
     """Places operations on connections and runs their statements.
 
@@ -122,6 +35,7 @@
     def __init__(self, board: Board, pools: Pools) -> None:
         self._board = board
         self._pools = pools
+        self._chooser = Chooser(board, pools)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run_single(
@@ -151,9 +65,9 @@
         """
         while True:
             if needs_primary or work.route.consistency is Consistency.PRIMARY:
-                choice = Choice(*await self._await_leader(work, tried))
+                choice = Choice(*await self._chooser.await_leader(work, tried))
             else:
-                choice = await self._choose_reader(work, tried)
+                choice = await self._chooser.choose_reader(work, tried)
             placed = await self._try_place(work, choice, tried)
             if placed is not None:
                 return placed
@@ -178,17 +92,19 @@
         :param shape: Shape of the prepared statement, and whether it writes.
         :raises TargetLost: The connection ended, or the time limit passed and the connection was closed.
         :raises TimeoutError: The time limit passed.
+        :raises Refused: No time is left; the statement was not sent.
         """
         lease = placed.lease
         name = await self._prepare(work, placed, shape)
         evidence = self._board.evidence_of(lease.target)
         sent_at = self._board.clock()
+        limit_s = self._limit_s(work, sent_at)
         work.is_sent = True
         evidence.in_flight += 1
         try:
             outcome = await asyncio.wait_for(
                 lease.connection.execute(request, statement, name=name, after=placed.after),
-                max(self._board.by_stop(work.until) - sent_at, 0),
+                limit_s,
             )
         except (TimeoutError, TargetLost) as error:
             self._note_lost(placed, sent_at, error, request)
@@ -218,7 +134,7 @@
         now = self._board.clock()
         promise = fault.reason.promise
         is_final = fault.reason.verdict is not Verdict.NOT_RUN or promise is Promise.MALFORMED
-        if is_final or now - work.began_at > work.route.timeout_s * _FAILOVER_SHARE:
+        if is_final or now - work.began_at > work.route.timeout_s * FAILOVER_SHARE:
             raise fault
         if promise is Promise.NO_SUCH_STATEMENT:
             placed.lease.names_by_shape.clear()
@@ -227,11 +143,11 @@
         if promise is Promise.BEHIND:
             self._board.evidence_of(target).note_behind(now)
         elif promise is not Promise.OVERLOADED:
-            await self._board.changed(_RECHECK_S)
+            await self._board.changed(RECHECK_S)
         elif now - work.began_at > work.route.aim_s:
-            raise Refused(refusals.TARGET_BUSY, f'{target.target} is full', _RETRY_READ_S)
+            raise Refused(refusals.TARGET_BUSY, f'{target.target} is full', RETRY_READ_S)
         else:
-            await asyncio.sleep(_BUSY_PAUSE_S)
+            await asyncio.sleep(BUSY_PAUSE_S)
 
     async def _roll_back(self, placed: Placed) -> None:
         is_clean = False
@@ -294,55 +210,75 @@
         """Read, and read again elsewhere when the first target stays silent; reads may run twice."""
         tried: set[TargetId] = set()
         pending: set[asyncio.Task[tuple[Outcome, Placed]]] = set()
+        failures: list[Refused] = []
         for limit_s in (self._hedge_s(work), work.route.timeout_s):
             pending.add(self._spawn(self._read_once(work, request, statement, shape, tried)))
-            outcome, pending = await self._first(
-                pending, self._board.by_stop(min(self._board.clock() + limit_s, work.until))
-            )
+            outcome, pending = await self._first(pending, min(self._board.clock() + limit_s, work.until), failures)
             if outcome is not None:
                 return outcome
+            if not pending:
+                # Where one attempt may have run, no other one decides that nothing did.
+                raise max(failures, key=_may_have_run)
         raise Refused(refusals.TIMED_OUT, f'no target answered in {work.route.timeout_s:.2f} s')
 
     async def _first(
-        self, pending: set[asyncio.Task[tuple[Outcome, Placed]]], until: Instant
+        self, pending: set[asyncio.Task[tuple[Outcome, Placed]]], until: Instant, failures: list[Refused]
     ) -> tuple[tuple[Outcome, Placed] | None, set[asyncio.Task[tuple[Outcome, Placed]]]]:
-        """Wait for the first attempt that is served; an attempt that fails leaves it to the others.
-
-        :raises Refused: Every attempt has failed.
-        """
-        while True:
+        """Wait for the first attempt that is served; one that is refused joins the failures and leaves it to others."""
+        while pending:
             left_s = max(until - self._board.clock(), 0)
             done, pending = await asyncio.wait(pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
-                if task.exception() is None:
+                try:
                     return task.result(), pending
-            if done and not pending:
-                return done.pop().result(), pending
+                except Refused as refusal:
+                    failures.append(refusal)
             if self._board.clock() >= until:
-                return None, pending
+                break
+        return None, pending
 
     async def _read_once(
         self, work: Work, request: RequestId, statement: Statement, shape: tuple[str, bool] | None, tried: set[TargetId]
     ) -> tuple[Outcome, Placed]:
-        has_failed = False
-        while True:
-            placed = await self.place(work, needs_primary=False, tried=tried)
+        doubt = Doubt()
+        try:
+            while True:
+                placed = await self.place(work, needs_primary=False, tried=tried)
+                outcome = await self._attempt(work, placed, request, statement, shape, tried, doubt)
+                if outcome is not None:
+                    return outcome, placed
+        except Refused as refusal:
+            raise doubt.told(refusal) from None
+
+    async def _attempt(
+        self,
+        work: Work,
+        placed: Placed,
+        request: RequestId,
+        statement: Statement,
+        shape: tuple[str, bool] | None,
+        tried: set[TargetId],
+        doubt: Doubt,
+    ) -> Outcome | None:
+        """:returns: The answer of a target that served the read; nothing where another one may be tried."""
+        try:
             outcome = await self._execute_read(work, placed, request, statement, shape)
-            if outcome is None:
-                tried.add(placed.lease.target.target)
-            elif outcome.fault is None:
-                return outcome, placed
-            elif outcome.fault.reason.promise is Promise.FAILED and not has_failed:
-                # A read may run again; a second failure is the statement's own.
-                has_failed = True
-                tried.add(placed.lease.target.target)
-            else:
-                await self.consider_retry(work, placed, outcome.fault, tried)
+        except TargetLost as error:
+            tried.add(placed.lease.target.target)
+            doubt.note_lost(error)
+            return None
+        if outcome.fault is None:
+            return outcome
+        if outcome.fault.reason.promise is Promise.FAILED and doubt.note(outcome.fault):
+            tried.add(placed.lease.target.target)
+        else:
+            await self.consider_retry(work, placed, outcome.fault, tried)
+        return None
 
     async def _execute_read(
         self, work: Work, placed: Placed, request: RequestId, statement: Statement, shape: tuple[str, bool] | None
-    ) -> Outcome | None:
-        """:returns: The target's answer; nothing when the connection ended. The connection is given back."""
+    ) -> Outcome:
+        """:returns: The target's answer. The connection is given back."""
         is_clean = False
         try:
             outcome = await self.execute(work, placed, request, statement, shape)
@@ -350,11 +286,17 @@
             return outcome
         except TimeoutError:
             raise Refused(refusals.TIMED_OUT, f'{placed.lease.target.target} was silent') from None
-        except TargetLost:
-            return None
         finally:
             self.release(placed, is_clean=is_clean)
 
+    def _limit_s(self, work: Work, now: Instant) -> float:
+        """:returns: Time that a statement has if it is sent now. :raises Refused: There is none."""
+        if now >= self._board.refuse_by:
+            raise Refused(refusals.STOPPING, retry_after_s=RETRY_READ_S)
+        if now >= work.until:
+            raise Refused(refusals.QUEUE_FULL, 'its time was used up before it could be sent', RETRY_READ_S)
+        return min(work.until, self._board.answer_by) - now
+
     def _hedge_s(self, work: Work) -> float:
         times = [self._board.evidence_of(target).statement_s for target in self._board.targets_of(work.route.service)]
         return max(_HEDGE_S, _HEDGE_FACTOR * min(times, default=_HEDGE_S))
@@ -371,74 +313,11 @@
         if not task.cancelled():
             task.exception()
 
-    async def _await_leader(self, work: Work, tried: set[TargetId]) -> tuple[LeaderRecord, TargetDescription]:
-        service = work.route.service
-        while True:
-            now = self._board.clock()
-            leader = self._board.leader(service)
-            if leader is not None and not leader[1].is_draining:
-                evidence = self._board.evidence_of(leader[1])
-                if evidence.is_usable(now):
-                    tried.discard(leader[1].target)
-                    return leader
-            limit = self._board.by_stop(self._patience_until(work, leader, now))
-            if now >= limit:
-                record = self._board.permits.record(service)
-                detail = f'{service} has no usable primary' + (
-                    f' (term {record.term} {record.state.value})' if record else ''
-                )
-                raise Refused(refusals.NO_PRIMARY, detail, _RETRY_PRIMARY_S)
-            await self._board.changed(min(limit - now, _RECHECK_S))
-
-    def _patience_until(
-        self, work: Work, leader: tuple[LeaderRecord, TargetDescription] | None, now: Instant
-    ) -> Instant:
-        record = self._board.permits.record(work.route.service)
-        is_expected = record is not None and record.state is LeaderState.CLOSING
-        if leader is not None:
-            failing_since = self._board.evidence_of(leader[1]).failing_since
-            is_expected = failing_since is not None and now - failing_since < _EXPECTED_FAILOVER_S
-            is_expected = is_expected or leader[1].is_draining
-        if is_expected:
-            return work.began_at + work.route.timeout_s * _FAILOVER_SHARE
-        return work.began_at + work.route.aim_s * _SHORT_SHARE
-
-    async def _choose_reader(self, work: Work, tried: set[TargetId]) -> Choice:
-        latest = work.began_at + work.route.timeout_s * _READ_SHARE
-        while True:
-            now = self._board.clock()
-            latest = self._board.by_stop(latest)
-            choice = self._best_reader(work, tried, now)
-            if choice is not None:
-                return choice
-            if now >= min(self._patience_until(work, self._board.leader(work.route.service), now), latest):
-                raise Refused(refusals.NO_TARGET, f'no target of {work.route.service} can run the read', _RETRY_READ_S)
-            await self._board.changed(_BUSY_PAUSE_S if tried else _RECHECK_S)
-            tried.clear()
-
-    def _best_reader(self, work: Work, tried: set[TargetId], now: Instant) -> Choice | None:
-        owed = self._board.samples.required(work.route, work.position, work.began_at)
-        candidates = []
-        for target, is_primary in self._board.readers_of(work.route.service):
-            evidence = self._board.evidence_of(target)
-            if (is_primary or owed is not None) and evidence.is_usable(now):
-                pool = self._pools.of(target)
-                candidates.append(placement.Candidate(target, evidence, pool.room(), pool.waiting(), is_primary))
-        is_settled = owed is not None and now - owed[1] >= placement.SETTLED_S
-        untried = placement.without(candidates, frozenset(tried))
-        best = next(placement.rank(untried, self._board.own.data_centre, now, is_settled=is_settled), None)
-        leader = self._board.leader(work.route.service)
-        if best is None or (best.is_primary and leader is None):
-            return None
-        if best.is_primary and leader is not None:
-            return Choice(leader[0], best.target)
-        return Choice(None, best.target, owed[0]) if owed is not None else None
-
     async def _try_place(self, work: Work, choice: Choice, tried: set[TargetId]) -> Placed | None:
         target = choice.target
         pool = self._pools.of(target)
         patience = max(work.began_at + work.route.aim_s, self._board.clock() + work.route.aim_s / 2)
-        until = self._board.by_stop(min(work.until, patience))
+        until = self._board.may_wait_until(min(work.until, patience))
         try:
             lease = await pool.acquire(work.organisation, work.route.priority, until)
         except TargetLost:
@@ -449,7 +328,7 @@
             if self._board.clock() >= work.began_at + work.route.aim_s:
                 raise
             log_event('target_full', target=target.target, detail=refusal.detail)
-            await asyncio.sleep(_BUSY_PAUSE_S)
+            await asyncio.sleep(BUSY_PAUSE_S)
             return None
         placed = Placed(lease, choice.record, choice.after)
         try:
@@ -489,15 +368,5 @@
         )
 
 
-class InFlight:
-    """Counts a write while a target may be running it, so that a planned change of primary can wait for it."""
-
-    def __init__(self, board: Board, work: Work) -> None:
-        self._counts = board.in_flight_writes
-        self._service = work.route.service
-
-    def __enter__(self) -> None:
-        self._counts[self._service] = self._counts.get(self._service, 0) + 1
-
-    def __exit__(self, *error: object) -> None:
-        self._counts[self._service] -= 1
+def _may_have_run(refusal: Refused) -> bool:
+    return refusal.reason.verdict is not Verdict.NOT_RUN
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -5,9 +5,9 @@
 from typing import Final
 
 from fescuequay_core.relay import refusals
-from fescuequay_core.relay.buckets import Take
 from fescuequay_core.relay.model import (
     Credential,
+    DatabaseName,
     LogPosition,
     Route,
     SessionState,
@@ -16,6 +16,7 @@
 )
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.types import Instant, OrganisationId, TargetId
+from fescuequay_entry.relay import admission
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.ports import (
@@ -28,21 +29,12 @@
     Query,
     TargetLost,
 )
-from fescuequay_entry.relay.routes import InFlight, Placed, Runner, Work
-
-#: Share of the aimed time for which an operation waits for its organisation's next token. A coordinator that has
-#: none says so in its first answer; only one that is slow to answer costs as much.
-_TOKEN_SHARE: Final = 0.4
+from fescuequay_entry.relay.routes import Runner
+from fescuequay_entry.relay.work import InFlight, Placed, Work
 
 #: Time within which a caller must send its first message, in seconds; callers send it at once.
 _OPENING_S: Final = 5.0
 
-#: Organisation that targets are told on open routes, whose callers may have none.
-_NOBODY: Final = OrganisationId('-')
-
-#: Least time to come back after for want of a token, in seconds: a few exchanges with the coordinator.
-_RETRY_TOKEN_S: Final = 0.05
-
 #: When to come back after a transaction could not begin, in seconds: several statements' time.
 _RETRY_S: Final = 0.2
 
@@ -81,7 +73,7 @@
         self._runner = runner
         self._metrics = metrics
         self._caller = caller
-        self._database = ''
+        self._database = DatabaseName('')
         self._credential = Credential('')
         self._values: dict[str, str] = {}
         self._shapes_by_name: dict[str, tuple[str, bool]] = {}
@@ -226,7 +218,7 @@
         try:
             outcome, placed = await self._runner.run_single(work, query.request, statement, shape)
         except Refused:
-            self._return_token(work)
+            admission.return_token(self._board, work)
             raise
         if statement.kind is StatementKind.WRITE or (shape is not None and shape[1]):
             self._note_commit(outcome)
@@ -234,43 +226,13 @@
         return placed.lease.target.target
 
     def _admit(self) -> tuple[Route, OrganisationId]:
-        """Check the route and the key under the configuration in force now."""
-        configuration = self._board.configuration
-        if configuration is None:
-            raise Refused(refusals.NO_CONFIGURATION, retry_after_s=1.0)
-        route = configuration.routes_by_database.get(self._database)
-        if route is None:
-            raise Refused(refusals.UNKNOWN_DATABASE)
-        organisation = configuration.organisation_ids_by_credential.get(self._credential)
-        if organisation is None:
-            if not route.is_open:
-                raise Refused(refusals.UNKNOWN_KEY)
-            organisation = _NOBODY
-        return route, organisation
+        return admission.admit(self._board, self._database, self._credential)
 
     async def _start(self, began_at: Instant) -> Work:
         route, organisation = self._admit()
-        await self._take_token(organisation, self._board.by_stop(began_at + route.aim_s * _TOKEN_SHARE))
+        await admission.take_token(self._board, route, organisation, began_at)
         return Work(route, organisation, began_at, self._values, self._position)
 
-    async def _take_token(self, organisation: OrganisationId, until: Instant) -> None:
-        board = self._board
-        taken, wait_s = board.buckets.take(organisation, board.clock(), until - board.clock())
-        board.buckets.wait(organisation, 1)
-        try:
-            while taken is Take.ASK and board.clock() < until:
-                board.changes.on_next('demand')
-                await board.changed(until - board.clock())
-                now = board.clock()
-                taken, wait_s = board.buckets.take(organisation, now, until - now, is_retry=True)
-        finally:
-            board.buckets.wait(organisation, -1)
-        if taken is not Take.TAKEN:
-            detail = f'{organisation} has used its rate'
-            raise Refused(refusals.RATE_EXCEEDED, detail, max(wait_s, _RETRY_TOKEN_S))
-        if wait_s > 0:
-            await asyncio.sleep(wait_s)
-
     def _keep(self, statement: Statement) -> None:
         if statement.kind is StatementKind.SET:
             # A copy, because operations on their way go on with the values that they began with.
@@ -341,14 +303,9 @@
         try:
             return await self._begin(transaction)
         except Refused:
-            self._return_token(transaction.work)
+            admission.return_token(self._board, transaction.work)
             raise
 
-    def _return_token(self, work: Work) -> None:
-        """A limit counts what targets run; an operation that was sent to none costs its organisation nothing."""
-        if not work.is_sent:
-            self._board.buckets.give_back(work.organisation, self._board.clock())
-
     async def _begin(self, transaction: OpenTransaction) -> Placed:
         tried: set[TargetId] = set()
         work = transaction.work
@@ -357,12 +314,12 @@
             try:
                 outcome = await asyncio.wait_for(
                     placed.lease.connection.begin(is_write=transaction.is_write, after=placed.after),
-                    max(self._board.by_stop(work.until) - self._board.clock(), 0),
+                    max(self._board.may_wait_until(work.until) - self._board.clock(), 0),
                 )
             except (TimeoutError, TargetLost):
                 self._runner.release(placed, is_clean=False)
                 tried.add(placed.lease.target.target)
-                if self._board.clock() >= self._board.by_stop(work.until):
+                if self._board.clock() >= self._board.may_wait_until(work.until):
                     raise Refused(refusals.NO_TARGET, 'no target began the transaction in time', _RETRY_S) from None
                 continue
             if outcome.fault is None:
@@ -438,4 +395,4 @@
     def _organisation_label(self) -> str:
         configuration = self._board.configuration
         known = configuration.organisation_ids_by_credential.get(self._credential) if configuration else None
-        return known or _NOBODY
+        return known or admission.NOBODY
