--- /dev/null
+++ b/packages/fescuequay-emulator/fescuequay_emulator/connections.py
@@ -0,0 +1,277 @@
+"""Connections of instances to model databases."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.model import (
+    LogPosition,
+    SessionState,
+    Statement,
+    StatementKind,
+    TargetDescription,
+    TargetReport,
+)
+from fescuequay_core.relay.refusals import Reason, Refused
+from fescuequay_core.types import OrganisationId, RequestId, Role, Term
+from fescuequay_emulator.network import Network
+from fescuequay_emulator.targets import ModelTarget, Run
+from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+
+
+class ModelConnection(TargetConnection):
+    """One connection of an instance to a model database.
+
+    :param target: The database.
+    :param caller: The instance.
+    :param organisation: Organisation that it speaks for.
+    """
+
+    def __init__(self, target: ModelTarget, caller: str, organisation: OrganisationId) -> None:
+        self.target = target
+        self.is_open = True
+        self.position = None
+        self.values: dict[str, str] = {}
+        self.shapes: dict[str, tuple[str, bool]] = {}
+        self.transaction = 0
+        self._caller = caller
+        self._organisation = organisation
+        self._may_write = True
+        self._writes: list[RequestId] = []
+        self._broken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def break_off(self, *, is_silent: bool = False) -> None:
+        """End the connection from the target's side; the caller sees it unless the end is silent."""
+        self.transaction = 0
+        self.target.connections.pop(self, None)
+        if not is_silent:
+            self.is_open = False
+            if not self._broken.done():
+                self._broken.set_result(None)
+
+    def close(self) -> None:
+        """End the connection from the instance's side."""
+        self.is_open = False
+        self.transaction = 0
+        self.target.connections.pop(self, None)
+
+    async def execute(
+        self,
+        request: RequestId,
+        statement: Statement,
+        *,
+        name: str | None = None,
+        after: LogPosition | None = None,
+    ) -> Outcome:
+        """Run a caller's statement."""
+        return await self._ask(lambda: self._run(request, statement, name, after))
+
+    async def begin(self, *, is_write: bool, after: LogPosition | None) -> Outcome:
+        """Begin a transaction."""
+
+        async def begin() -> Outcome:
+            if is_write and self.target.role is not Role.PRIMARY:
+                return self._fault(refusals.NOT_LEADING)
+            if after is not None and not self._has(after):
+                return self._fault(refusals.BEHIND)
+            self.transaction = self.target.next_transaction()
+            self._may_write = is_write
+            self._writes = []
+            return self._done()
+
+        return await self._ask(begin)
+
+    async def rollback(self) -> Outcome:
+        """Roll the transaction back."""
+
+        async def roll_back() -> Outcome:
+            self.transaction = 0
+            return self._done()
+
+        return await self._ask(roll_back)
+
+    async def set_value(self, name: str, value: str) -> Outcome:
+        """Set a session value."""
+
+        async def set_value() -> Outcome:
+            self.values[name] = value
+            return self._done()
+
+        return await self._ask(set_value)
+
+    async def prepare(self, name: str, shape: str, *, is_write: bool) -> Outcome:
+        """Prepare a statement."""
+
+        async def prepare() -> Outcome:
+            self.shapes[name] = (shape, is_write)
+            return self._done()
+
+        return await self._ask(prepare)
+
+    async def reset(self) -> Outcome:
+        """Drop all values and prepared statements."""
+
+        async def reset() -> Outcome:
+            self.values.clear()
+            self.shapes.clear()
+            return self._done()
+
+        return await self._ask(reset)
+
+    async def status(self) -> TargetReport | None:
+        """:returns: Its status."""
+        await self._ask(self._nothing)
+        return self.target.report()
+
+    async def demote(self, term: Term) -> TargetReport | None:
+        """Make a primary of an earlier term a replica."""
+
+        async def demote() -> Outcome:
+            if self.target.role is Role.PRIMARY and self.target.term < term:
+                self.target.follow()
+                self.target.applied = len(self.target.log)
+            return self._done()
+
+        await self._ask(demote)
+        return self.target.report()
+
+    async def hold(self, term: Term) -> TargetReport | None:
+        """Stop a replica from receiving."""
+
+        async def hold() -> Outcome:
+            self.target.is_deaf = True
+            return self._done()
+
+        await self._ask(hold)
+        return self.target.report()
+
+    async def _nothing(self) -> Outcome:
+        return self._done()
+
+    async def _ask(self, step: Callable[[], Awaitable[Outcome]]) -> Outcome:
+        asking = asyncio.ensure_future(self._both_ways(step))
+        waited: set[asyncio.Future[Any]] = {asking, self._broken}
+        done, _ = await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        if asking in done:
+            return asking.result()
+        asking.cancel()
+        raise TargetLost('the target ended the connection')
+
+    async def _both_ways(self, step: Callable[[], Awaitable[Outcome]]) -> Outcome:
+        target = self.target
+        try:
+            await target.network.travel(self._caller, target.name)
+            if not target.is_alive:
+                await asyncio.get_running_loop().create_future()
+            outcome = await step()
+            await target.network.travel(target.name, self._caller)
+        except ConnectionRefusedError as error:
+            raise TargetLost(str(error)) from error
+        self.position = outcome.position
+        return outcome
+
+    async def _run(
+        self, request: RequestId, statement: Statement, name: str | None, after: LogPosition | None
+    ) -> Outcome:
+        target = self.target
+        shape = self.shapes.get(name) if name is not None else None
+        if name is not None and shape is None:
+            return self._fault(refusals.UNKNOWN_STATEMENT)
+        is_write = statement.kind is StatementKind.WRITE or (shape is not None and shape[1])
+        try:
+            await target.work()
+        except Refused as refusal:
+            return self._fault(refusal.reason)
+        if not target.is_alive:
+            await asyncio.get_running_loop().create_future()
+        if after is not None and not self._has(after):
+            return self._fault(refusals.BEHIND)
+        must_lead = is_write or (self.transaction > 0 and self._may_write)
+        if must_lead and target.role is not Role.PRIMARY:
+            self.transaction = 0
+            return self._fault(refusals.NOT_LEADING)
+        target.note_run(self._described(request, statement, shape))
+        if target.fails():
+            return self._fault(refusals.FAILED)
+        self._take_effect(request, statement, is_write=is_write)
+        if target.loses_answer():
+            await asyncio.get_running_loop().create_future()
+        return self._done(f'{target.name}:{request}')
+
+    def _take_effect(self, request: RequestId, statement: Statement, *, is_write: bool) -> None:
+        if statement.kind is StatementKind.COMMIT:
+            if self._writes:
+                self.target.commit(request, tuple(self._writes))
+            self.transaction = 0
+            self._writes = []
+        elif is_write and self.transaction:
+            self._writes.append(request)
+        elif is_write:
+            self.target.commit(request, (request,))
+
+    def _described(self, request: RequestId, statement: Statement, shape: tuple[str, bool] | None) -> Run:
+        target = self.target
+        return Run(
+            asyncio.get_running_loop().time(),
+            target.name,
+            target.description.service,
+            request,
+            statement,
+            self._organisation,
+            dict(self.values),
+            shape,
+            self.transaction,
+            target.seen(),
+            target.role is Role.PRIMARY,
+            self._caller,
+        )
+
+    def _has(self, position: LogPosition) -> bool:
+        seen = self.target.seen()
+        return bool(seen) and seen[-1].position >= position or position.number == 0
+
+    def _done(self, signature: str = '-') -> Outcome:
+        state = SessionState.IN_TRANSACTION if self.transaction else SessionState.IDLE
+        return Outcome((), signature, None, state, self.target.position())
+
+    def _fault(self, reason: Reason) -> Outcome:
+        state = SessionState.FAILED if self.transaction else SessionState.IDLE
+        return Outcome((), '', Refused(reason), state, self.target.position())
+
+
+class ModelDriver(TargetDriver):
+    """Opens connections of one instance to model databases.
+
+    :param network: The network.
+    :param targets_by_address: Databases by the address that they listen on.
+    :param caller: The instance.
+    """
+
+    def __init__(self, network: Network, targets_by_address: dict[str, ModelTarget], caller: str) -> None:
+        self._network = network
+        self._targets_by_address = targets_by_address
+        self._caller = caller
+
+    async def connect(self, target: TargetDescription, organisation: OrganisationId) -> TargetConnection:
+        """Open a connection."""
+        found = self._targets_by_address.get(target.address)
+        if found is None:
+            raise TargetLost('nothing listens there', is_refusal=True)
+        try:
+            await self._network.travel(self._caller, found.name)
+            if found.is_dark:
+                await asyncio.get_running_loop().create_future()
+            if not found.is_alive:
+                raise TargetLost('nothing listens there', is_refusal=True)
+            if found.name != target.target:
+                raise Refused(refusals.WRONG_TARGET)
+            if len(found.connections) >= found.max_connections:
+                raise Refused(refusals.TOO_MANY)
+            await found.open_slot()
+            await self._network.travel(found.name, self._caller)
+        except ConnectionRefusedError as error:
+            raise TargetLost(str(error), is_refusal=True) from error
+        connection = ModelConnection(found, self._caller, organisation)
+        found.connections[connection] = None
+        return connection
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -20,11 +20,12 @@
 )
 from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
+from fescuequay_emulator.connections import ModelDriver
 from fescuequay_emulator.judge import Broken, Change, Judge
 from fescuequay_emulator.links import ModelPeers, ModelPromoter
 from fescuequay_emulator.network import Cut, Network
 from fescuequay_emulator.table import PLACE, Entries, ModelFeed, ModelTable, Store
-from fescuequay_emulator.targets import Commit, ModelDriver, ModelTarget
+from fescuequay_emulator.targets import Commit, ModelTarget
 from fescuequay_emulator.virtual import VirtualLoop, owner
 from fescuequay_entry.relay.instance import Adapters, Instance
 from fescuequay_entry.relay.settings import RelaySettings
