Drop a condition on readings of the table that the registration's date makes needless

Cause: since a reading confirms from the instance's own registration, the mutant without 'act only on a listed row' has no counterexample: a mark, and the wait that follows it, come after every registration that it strikes off. Change: the condition goes from the code and from spec/listing.py; two conjuncts of the invariant say why.

--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -68,11 +68,10 @@
             # An older reading, overtaken by a newer one or by a write, would list instances that were marked since.
             self._complete_at = read_at
             self._note_listed(members.values())
-        # A promoter collects permits from the instances that are listed; another one must not act on a record. It
-        # sees that a row was written, but not that the table was read, so the confirmation counts from the writing.
-        is_listed = (board.own.instance, board.own.incarnation) in board.listed
+        # A promoter sees that a row was written, but not that the table was read, so the confirmation counts from
+        # the writing: whoever is not listed, or no longer, has no permit of it when promoters do not ask it any more.
         for leader in leaders:
-            board.learn_record(leader, self._registered_at if is_listed else float('-inf'), 'table')
+            board.learn_record(leader, self._registered_at, 'table')
         board.duty.learn(duty, board.clock())
         self.take_members(members.values())
 
--- a/spec/listing.py
+++ b/spec/listing.py
@@ -47,13 +47,11 @@
 
 
 def _read_by_itself(before: State, after: State, keep: _Keep) -> Any:
-    """The instance reads the table and finds its row; the permit counts from its own registration."""
+    """The instance reads the table; the permit counts from its own registration, whatever became of the row."""
     start = z3.Real('start')
-    is_listed = keep('act only on a listed row', z3.And(before['present'], z3.Not(before['marked'])))
     return z3.And(
         before['runs'],
         before['registered'],
-        is_listed,
         start <= before['now'],
         keep('count an own reading from the registration', start == before['registered_at']),
         then(before, after, permit=_YES, permit_at=start),
@@ -216,7 +214,12 @@
         ),
         'a row that was never there has no instance with a permit': z3.Implies(
             z3.And(now['runs'], z3.Not(now['present']), z3.Not(now['marked'])),
-            z3.And(z3.Not(now['permit']), z3.Not(now['view']), z3.Not(z3.And(now['reading'], now['read_listed']))),
+            z3.And(
+                z3.Not(now['registered']),
+                z3.Not(now['permit']),
+                z3.Not(now['view']),
+                z3.Not(z3.And(now['reading'], now['read_listed'])),
+            ),
         ),
         'a stopped instance has no permit': z3.Implies(
             z3.Not(now['runs']), z3.And(z3.Not(now['permit']), z3.Not(now['present']))
@@ -231,6 +234,9 @@
         'no permit counts from after the mark': z3.Implies(
             z3.And(now['runs'], is_struck, now['permit']), now['permit_at'] <= now['marked_at']
         ),
+        'a registration comes before the mark': z3.Implies(
+            z3.And(now['runs'], is_struck, now['registered']), now['registered_at'] <= now['marked_at']
+        ),
         'a mark is noted after it was set': z3.Implies(is_marked_row, now['marked_at'] <= now['noted_at']),
         'a removed row was marked for longer than a permit': z3.Implies(
             z3.And(now['runs'], z3.Not(now['present']), now['marked']),
@@ -309,7 +315,6 @@
     guards={
         guard.name: guard
         for guard in (
-            Guard('act only on a listed row', f'{_RECORDS}.read'),
             Guard('confirm only to listed instances', f'{_MEMBERSHIP}._take'),
             Guard('renew only on a complete view', f'{_RECORDS}._write'),
             Guard('ignore a reading that was overtaken', f'{_RECORDS}.read'),
