Count tokens in stocks as part of the burst, and keep half of the burst for operations that wait

Cause: every instance keeps a token at hand for each organisation that has a session open there. And wishes for stocks emptied the bucket, so that operations without a token were refused though the organisation stayed within its rate. Ruled out: no stocks at all (every operation asks the coordinator, 590 to 1,270 a second); shorter stocks (195 tokens are one an instance already). Change: a request tells what is held and how much of its wish operations wait for. Stocks may hold the burst and three quarters of the platform's tolerance; what they hold beyond the tolerance is taken off the bucket; they are filled from the upper half of the burst only. The tolerance comes from the platform's settings.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -104,6 +104,19 @@
     When 9 instances ask the token pool at 7 times a rate of 40 with a burst of 40 for 12 s
     Then no 5 s see more than 240 operations, and 12 s see at least 450
 
+  Scenario Outline: A flood over many instances that each keep a token at hand, <size>
+    Given <instances> instances with an open session of an organisation of <rate> operations a second each
+    When <calm> s go by, and then the organisation sends 7 times its rate for 6 s
+    Then no 5 s see more operations than its limit and the platform's tolerance allow
+    And the flood gets at least its rate
+    And calm operations find a token at once or when the pool answers
+
+    Examples:
+      | size | instances | rate | calm |
+      | a large organisation everywhere | 195 | 68 | 8 |
+      | a small organisation at some    | 35  | 3  | 8 |
+      | a few instances                 | 9   | 40 | 8 |
+
   Scenario: An instance out of touch lives on its even part, and the pool leaves that part out
     When one of 4 instances stops exchanging, all wanting twice a rate of 40 with a burst of 40
     Then no 5 s see more than 240 operations, and 12 s see at least 450
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -10,7 +10,7 @@
 from fescuequay_core.relay.model import MemberRecord, OrganisationPolicy
 from fescuequay_core.relay.pace import contact_s
 from fescuequay_core.relay.spread import parent_of
-from fescuequay_core.relay.tokenpool import TokenPool
+from fescuequay_core.relay.tokenpool import TokenPool, Tolerance, Wish
 from fescuequay_core.types import InstanceId, OrganisationId
 from fescuequay_emulator.virtual import VirtualLoop
 from fescuequay_emulator.world import ZONES, World
@@ -21,12 +21,14 @@
 
 RATE_PER_S = 80.0
 MEMBERS = 4
+#: As the sites' pages state it.
+TOLERANCE = Tolerance(5.0, 0.1, 20.0)
 ORGANISATION = OrganisationId('o')
 
 
 @given('two token pools and 4 instances that leave their parts to the first')
 def step_pools(context: Any) -> None:
-    context.pools = [TokenPool(0.0), TokenPool(0.0)]
+    context.pools = [TokenPool(0.0, TOLERANCE), TokenPool(0.0, TOLERANCE)]
     for number in range(MEMBERS):
         assert context.pools[0].note_asked(InstanceId(f'n{number}'), 'i', 5, 100.0)
 
@@ -46,7 +48,8 @@
 def step_parts(context: Any) -> None:
     assert [pool.share(MEMBERS, 100.0) for pool in context.pools] == [3 / 4, 1 / 4]
     policies = {ORGANISATION: OrganisationPolicy(ORGANISATION, RATE_PER_S, RATE_PER_S)}
-    given = [pool.give({ORGANISATION: 1000}, policies, MEMBERS, 100.0)[ORGANISATION][0] for pool in context.pools]
+    wish = Wish({ORGANISATION: 1000}, {ORGANISATION: 1000})
+    given = [pool.give(InstanceId('n0'), wish, policies, MEMBERS, 100.0)[ORGANISATION][0] for pool in context.pools]
     # What the second call finds is what has come in since; the first emptied the buckets.
     assert sum(given) <= RATE_PER_S, given
 
--- a/packages/fescuequay-core/fescuequay_core/relay/buckets.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/buckets.py
@@ -152,6 +152,18 @@
                 wanted[organisation] = missing
         return wanted
 
+    def waiting(self) -> dict[OrganisationId, int]:
+        """:returns: Operations that wait for a token, by organisation."""
+        stocks = self._stocks_by_organisation.items()
+        return {organisation: stock.waiting for organisation, stock in stocks if stock.waiting > 0}
+
+    def held(self, now: Instant) -> dict[OrganisationId, int]:
+        """:returns: Tokens in stock, by organisation."""
+        stocks = self._stocks_by_organisation.items()
+        return {
+            organisation: int(stock.tokens) for organisation, stock in stocks if stock.tokens >= 1 and stock.until > now
+        }
+
     def keep_stocks(self, asked_at: Instant) -> None:
         """Keep the tokens of organisations that still need them for another while.
 
--- a/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
@@ -3,6 +3,7 @@
 An instance leaves its part to one other at a time, so the pools of several never hold the same part.
 """
 
+import collections
 import dataclasses
 from collections.abc import Mapping
 from typing import Final
@@ -15,6 +16,85 @@
 #: the longest that a request may have been on its way.
 _MARGIN_S: Final = 0.35
 
+#: Time after which an instance that is silent has no tokens of its stock left, in seconds: those may be used for 2 s.
+_STOCK_GONE_S: Final = 2.5
+
+#: Share of the tolerance that stocks may take up; the rest is left to requests that arrive late.
+_TOLERANCE_SHARE: Final = 0.75
+
+#: Share of the burst that is given to no stock, so that operations that wait find tokens.
+_RESERVED_SHARE: Final = 0.5
+
+#: Tokens that a bucket can hold however many are in stocks, so that operations without a stock find some.
+_LEAST_LEVEL: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tolerance:
+    """By how much a limit may be passed in any window; as the platform states it.
+
+    :param window_s: Length of the window, in seconds.
+    :param overage: Share of what the limit allows in a window.
+    :param slack: Operations beyond that.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def stock_of(self, policy: OrganisationPolicy) -> float:
+        """:returns: Tokens that may lie in stocks beside a full bucket."""
+        allowed = policy.rate_per_s * self.window_s + policy.burst
+        return _TOLERANCE_SHARE * (self.overage * allowed + self.slack)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What an instance asks for and what it has.
+
+    :param wanted: Tokens that it asks for, by organisation.
+    :param waiting: How many of them operations wait for; the others are for its stock.
+    :param held: Tokens in its stock.
+    """
+
+    wanted: Mapping[OrganisationId, int]
+    waiting: Mapping[OrganisationId, int] = dataclasses.field(default_factory=dict)
+    held: Mapping[OrganisationId, int] = dataclasses.field(default_factory=dict)
+
+
+class _Stocks:
+    """Tokens that instances hold for operations to come, which may all be used in one moment."""
+
+    def __init__(self) -> None:
+        self._held_by_instance: dict[InstanceId, tuple[Instant, dict[OrganisationId, int]]] = {}
+        self._sum_by_organisation: collections.Counter[OrganisationId] = collections.Counter()
+        self._swept_at: Instant = float('-inf')
+
+    def replace(self, instance: InstanceId, held: Mapping[OrganisationId, int], now: Instant) -> None:
+        """Take in what an instance holds, and forget those that are silent."""
+        if now - self._swept_at > _STOCK_GONE_S / 2:
+            self._swept_at = now
+            for other, (noted_at, _) in tuple(self._held_by_instance.items()):
+                if now - noted_at > _STOCK_GONE_S:
+                    self._forget(other)
+        self._forget(instance)
+        self._held_by_instance[instance] = (now, dict(held))
+        self._sum_by_organisation.update(held)
+
+    def add(self, instance: InstanceId, organisation: OrganisationId, tokens: int) -> None:
+        """Count tokens that an instance is given for its stock."""
+        held = self._held_by_instance[instance][1]
+        held[organisation] = held.get(organisation, 0) + tokens
+        self._sum_by_organisation[organisation] += tokens
+
+    def of(self, organisation: OrganisationId) -> int:
+        """:returns: Tokens of an organisation in all stocks."""
+        return self._sum_by_organisation[organisation]
+
+    def _forget(self, instance: InstanceId) -> None:
+        _, held = self._held_by_instance.pop(instance, (0.0, {}))
+        self._sum_by_organisation.subtract(held)
+
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
@@ -26,13 +106,17 @@
     """Gives tokens out of each organisation's bucket.
 
     Instances out of touch live on their even part of the rate, so the bucket fills and holds only the
-    parts of those that were heard from lately.
+    parts of those that were heard from lately. Tokens in stocks beyond the tolerance count as part of the burst,
+    because all of them may be used in one window with it.
 
     :param began_at: When this instance started; every bucket begins empty.
+    :param tolerance: By how much a limit may be passed.
     """
 
-    def __init__(self, began_at: Instant) -> None:
+    def __init__(self, began_at: Instant, tolerance: Tolerance) -> None:
         self.began_at = began_at
+        self._tolerance = tolerance
+        self._stocks = _Stocks()
         self._buckets_by_organisation: dict[OrganisationId, _Bucket] = {}
         self._heard_at: dict[InstanceId, Instant] = {}
         self._released: dict[tuple[InstanceId, str], int] = {}
@@ -76,14 +160,16 @@
 
     def give(
         self,
-        wanted: Mapping[OrganisationId, int],
+        instance: InstanceId,
+        wish: Wish,
         policies_by_id: Mapping[str, OrganisationPolicy],
         members: int,
         now: Instant,
     ) -> dict[OrganisationId, tuple[int, float]]:
         """Give tokens to an instance.
 
-        :param wanted: Tokens that it asks for.
+        :param instance: Who asks.
+        :param wish: What it asks for and what it has.
         :param policies_by_id: Limits in force.
         :param members: Instances that share the limits.
         :param now: Present time.
@@ -91,15 +177,21 @@
         """
         share = self.share(members, now)
         given: dict[OrganisationId, tuple[int, float]] = {}
-        for organisation, count in wanted.items():
+        self._stocks.replace(instance, wish.held, now)
+        for organisation, count in wish.wanted.items():
             policy = policies_by_id.get(organisation)
             if policy is None:
                 continue
             bucket = self._settle(organisation, policy, share, now)
-            tokens = max(min(count, int(bucket.level)), 0)
+            used = max(min(wish.waiting.get(organisation, 0), count, int(bucket.level)), 0)
+            most = int((self._tolerance.stock_of(policy) + policy.burst) * share) - self._stocks.of(organisation)
+            reserved = _RESERVED_SHARE * policy.burst * share
+            kept = max(min(count - used, int(bucket.level - reserved) - used, most), 0)
+            self._stocks.add(instance, organisation, kept)
+            tokens = used + kept
             bucket.level -= tokens
             dry_s = 0.0
-            if tokens < count:
+            if tokens < count and bucket.level < 1:
                 # At the whole rate, because other instances may leave their parts here in the next moment.
                 dry_s = (1 - bucket.level) / policy.rate_per_s if policy.rate_per_s > 0 else 1.0
             given[organisation] = (tokens, round(min(dry_s, 1.0), 3))
@@ -111,6 +203,7 @@
             bucket = _Bucket(0.0, self.began_at)
             self._buckets_by_organisation[organisation] = bucket
         filled = bucket.level + policy.rate_per_s * share * max(now - bucket.at, 0)
-        bucket.level = min(filled, max(policy.burst * share, 1.0))
+        beyond = max(self._stocks.of(organisation) - self._tolerance.stock_of(policy) * share, 0)
+        bucket.level = min(filled, max(policy.burst * share - beyond, min(policy.burst * share, _LEAST_LEVEL), 1.0))
         bucket.at = max(now, bucket.at)
         return bucket
--- a/packages/fescuequay-emulator/fescuequay_emulator/judge.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/judge.py
@@ -12,8 +12,8 @@
 
 #: Window of an organisation's limit, share and number by which it may be passed; as the sites' pages state them.
 _WINDOW_S: Final = 5.0
-_OVERAGE: Final = 0.1
-_SLACK: Final = 20
+OVERAGE: Final = 0.1
+SLACK: Final = 20
 
 #: Time within which a configuration must be in force, in seconds.
 _APPLY_S: Final = 3.0
@@ -199,7 +199,7 @@
             policy = limits.get(organisation)
             if policy is None:
                 continue
-            most = (policy.rate_per_s * _WINDOW_S + policy.burst) * (1 + _OVERAGE) + _SLACK
+            most = (policy.rate_per_s * _WINDOW_S + policy.burst) * (1 + OVERAGE) + SLACK
             start = 0
             for end, at in enumerate(times):
                 while times[start] < at - _WINDOW_S:
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -21,7 +21,7 @@
 from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
 from fescuequay_emulator.connections import ModelDriver
-from fescuequay_emulator.judge import Broken, Change, Judge
+from fescuequay_emulator.judge import OVERAGE, SLACK, Broken, Change, Judge
 from fescuequay_emulator.links import ModelPeers, ModelPromoter
 from fescuequay_emulator.network import Cut, Network
 from fescuequay_emulator.table import PLACE, Entries, ModelFeed, ModelTable, Store
@@ -181,7 +181,18 @@
         self.network.add(name, zone)
         self.zones_by_instance[name] = zone
         self._incarnations += 1
-        settings = RelaySettings(name, zone, name, '0.0.0.0:1', '0.0.0.0:2', (1, 2), '0.0.0.0:3', '0.0.0.0:4', 6.0)
+        settings = RelaySettings(
+            name,
+            zone,
+            name,
+            '0.0.0.0:1',
+            '0.0.0.0:2',
+            (1, 2),
+            '0.0.0.0:3',
+            '0.0.0.0:4',
+            limit_overage=OVERAGE,
+            limit_slack=SLACK,
+        )
         self.names_by_address[f'{name}:1'] = name
         listener = ModelListener()
         adapters = Adapters(
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -4,7 +4,7 @@
 import dataclasses
 import logging
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, Final
 
 from reactivex.subject import Subject
 
@@ -15,8 +15,11 @@
 from fescuequay_core.relay.history import History
 from fescuequay_core.relay.model import Configuration, LeaderRecord, MemberRecord, TargetDescription
 from fescuequay_core.relay.permits import Confirmations, Permits
+from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId, Instant, LeaderState, Role, ServiceId, TargetId
 
+_EXACT: Final = Tolerance()
+
 _log = logging.getLogger('fescuequay')
 
 
@@ -44,10 +47,12 @@
 
     :param own: Who this instance is.
     :param clock: Steady time that also counts while the machine is suspended, in seconds.
+    :param tolerance: By how much a limit may be passed.
     """
 
-    def __init__(self, own: Self, clock: Callable[[], Instant]) -> None:
+    def __init__(self, own: Self, clock: Callable[[], Instant], tolerance: Tolerance = _EXACT) -> None:
         self.own = own
+        self.tolerance = tolerance
         self.clock = clock
         self.configuration: Configuration | None = None
         self.targets_by_id: dict[TargetId, TargetDescription] = {}
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -9,7 +9,7 @@
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription, TargetReport
 from fescuequay_core.relay.pace import contact_s, round_s
 from fescuequay_core.relay.suspicion import Finding, Observation, Report, judge
-from fescuequay_core.relay.tokenpool import TokenPool
+from fescuequay_core.relay.tokenpool import TokenPool, Wish
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.controls import Controls
@@ -74,7 +74,7 @@
         self._controls = controls
         self._replacement = replacement
         self._began_at = board.clock()
-        self._pool = TokenPool(board.clock())
+        self._pool = TokenPool(board.clock(), board.tolerance)
         self._observations: dict[InstanceId, tuple[Instant, ExchangeRequest]] = {}
         self._tasks_by_service: dict[ServiceId, asyncio.Task[None]] = {}
         self._quiet_until: dict[ServiceId, Instant] = {}
@@ -153,7 +153,8 @@
         now = self._board.clock()
         if not self._pool.note_asked(request.instance, request.incarnation, request.number, now):
             return SupplyAnswer()
-        given = self._give({OrganisationId(name): count for name, count in request.wanted.items()}, now)
+        wish = Wish(_by_id(request.wanted), _by_id(request.waiting), _by_id(request.held))
+        given = self._give(request.instance, wish, now)
         if request.is_release:
             self._pool.release(request.instance, request.incarnation, request.number)
         return SupplyAnswer(given)
@@ -163,7 +164,8 @@
         buckets = self._board.buckets
         buckets.note_contact(now + contact_s(self._board.member_count()))
         self._pool.note_heard(self._board.own.instance, now)
-        for organisation, (tokens, dry_s) in self._give(buckets.wants(now), now).items():
+        wish = Wish(buckets.wants(now), buckets.waiting(), buckets.held(now))
+        for organisation, (tokens, dry_s) in self._give(self._board.own.instance, wish, now).items():
             buckets.receive(OrganisationId(organisation), tokens, dry_s, now)
         buckets.keep_stocks(now)
         self._board.changes.on_next('tokens')
@@ -183,11 +185,11 @@
         self._renewed_at = float('-inf')
         self.stop()
 
-    def _give(self, wanted: Mapping[OrganisationId, int], now: Instant) -> dict[str, tuple[int, float]]:
+    def _give(self, instance: InstanceId, wish: Wish, now: Instant) -> dict[str, tuple[int, float]]:
         configuration = self._board.configuration
         if configuration is None:
             return {}
-        given = self._pool.give(wanted, configuration.organisations_by_id, self._board.member_count(), now)
+        given = self._pool.give(instance, wish, configuration.organisations_by_id, self._board.member_count(), now)
         return {str(name): tokens for name, tokens in given.items()}
 
     def _samples(self, now: Instant) -> Iterator[tuple[str, SampleNote]]:
@@ -361,6 +363,10 @@
     return pair[1].term
 
 
+def _by_id(counts: Mapping[str, int]) -> dict[OrganisationId, int]:
+    return {OrganisationId(name): count for name, count in counts.items()}
+
+
 def observe(board: Board, target: TargetDescription) -> Observation:
     """:returns: What this instance sees of a primary."""
     evidence = board.evidence_of(target)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from fescuequay_core.relay.model import Configuration, TargetDescription
+from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId
 from fescuequay_entry.relay.board import Board, Self, log_event
 from fescuequay_entry.relay.controls import Controls
@@ -111,7 +112,7 @@
             settings.data_centre,
             f'{settings.host}:{settings.peer_ports[0]}',
         )
-        self.board = Board(own, clock)
+        self.board = Board(own, clock, Tolerance(settings.limit_window_s, settings.limit_overage, settings.limit_slack))
         self.metrics = RelayMetrics()
         self._adapters = adapters
         self._pools = Pools(self.board, adapters.driver)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -15,6 +15,8 @@
     :param incarnation: Its present incarnation.
     :param number: Grows with each request of this incarnation.
     :param wanted: Tokens that it asks for, by organisation.
+    :param waiting: How many of them operations wait for.
+    :param held: Tokens that it has in stock, by organisation.
     :param is_release: Whether it takes its part back with this request; the tokens are its last from there.
     """
 
@@ -22,6 +24,8 @@
     incarnation: str
     number: int
     wanted: dict[str, int]
+    waiting: dict[str, int] = dataclasses.field(default_factory=dict)
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
     is_release: bool = False
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -27,6 +27,9 @@
     :param store: ``host:port`` of the table.
     :param promoter: ``host:port`` of the promoter.
     :param stop_s: Time from SIGTERM until the process is killed, in seconds.
+    :param limit_window_s: Length of the window over which limits are judged, in seconds.
+    :param limit_overage: Share by which a limit may be passed in a window.
+    :param limit_slack: Operations by which it may be passed besides.
     :param log_level: Least level of log lines.
     """
 
@@ -39,6 +42,9 @@
     store: Address
     promoter: Address
     stop_s: float = 6.0
+    limit_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    limit_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    limit_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     log_level: str = 'info'
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
@@ -88,7 +88,7 @@
             log_event('tokens_from', address=address, earlier=self._delegate or '-')
             self._delegate = address
         self._delegated_until = now + contact_s(self._board.member_count())
-        return self._numbered(self._wanted(now))
+        return self._numbered(now)
 
     def serve_own(self) -> None:
         """Take tokens from this instance's own pool."""
@@ -115,9 +115,6 @@
         """Record that an instance answers, whatever it was asked."""
         self._failures_by_address.pop(address, None)
 
-    def _wanted(self, now: Instant) -> dict[str, int]:
-        return {str(name): count for name, count in self._board.buckets.wants(now).items()}
-
     def _receive(self, answer: SupplyAnswer, began_at: Instant) -> None:
         buckets = self._board.buckets
         for name, (tokens, dry_s) in answer.tokens.items():
@@ -131,10 +128,25 @@
     def _round_s(self) -> float:
         return round_s(self._board.member_count())
 
-    def _numbered(self, wanted: dict[str, int], *, is_release: bool = False) -> SupplyRequest:
+    def _numbered(self, now: Instant, *, is_release: bool = False) -> SupplyRequest:
+        own = self._board.own
+        buckets = self._board.buckets
+        self._number += 1
+        return SupplyRequest(
+            own.instance,
+            own.incarnation,
+            self._number,
+            _plain(buckets.wants(now)),
+            _plain(buckets.waiting()),
+            _plain(buckets.held(now)),
+            is_release,
+        )
+
+    def _call_only(self) -> SupplyRequest:
+        """:returns: A request that asks for nothing and leaves nothing."""
         own = self._board.own
         self._number += 1
-        return SupplyRequest(own.instance, own.incarnation, self._number, wanted, is_release)
+        return SupplyRequest(own.instance, own.incarnation, self._number, {}, is_release=True)
 
     def _on_change(self, subject: str) -> None:
         if subject == 'demand':
@@ -170,7 +182,7 @@
 
     async def _release_from(self, address: str) -> None:
         began_at = self._board.clock()
-        request = self._numbered(self._wanted(began_at), is_release=True)
+        request = self._numbered(began_at, is_release=True)
         if address == self._board.own.peer_address:
             answer = self._coordinator.supply(request)
         else:
@@ -215,8 +227,12 @@
     async def _call(self, member: MemberRecord) -> bool:
         """:returns: Whether the instance answers a request that leaves nothing to it."""
         try:
-            await self._peers.supply(member.address, self._numbered({}, is_release=True))
+            await self._peers.supply(member.address, self._call_only())
         except PeerError:
             return False
         self.note_answered(member.address)
         return True
+
+
+def _plain(counts: dict[OrganisationId, int]) -> dict[str, int]:
+    return {str(name): count for name, count in counts.items()}
