Start without reading certificate authorities

Cause: a process that starts is charged for its processor time, 0.9 s on a machine that has half a core; after a mass restart nobody is served meanwhile. The HTTP library builds two TLS contexts when it is imported and reads all certificate authorities of the machine into them; no connection of an instance on the platform uses TLS. Ruled out: hiding the ssl module (the metrics library imports it unconditionally); starting without the site module (no difference beyond the noise).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -73,3 +73,7 @@
   Scenario: A reader of the log lines that falls behind costs lines, never time
     When 5000 lines are logged to a pipe that nobody reads
     Then no line waited, and the first line that fits again says how many were dropped
+
+  Scenario: A start reads no certificate authorities, because no connection uses TLS
+    When the deployed program checks its settings
+    Then it has read 0 certificates
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,6 +6,8 @@
 import os
 import pathlib
 import re
+import subprocess
+import sys
 from typing import Any
 
 from behave import given, then, when
@@ -221,3 +223,28 @@
 @then('the instance stops at SIGTERM within its grace with exit code 0')
 def step_stops(context: Any) -> None:
     assert context.world.stop() == 0
+
+
+#: Runs the deployed program as its own process does, and prints the certificates in the HTTP library's context.
+_COUNT_CERTIFICATES = """
+import runpy, sys
+sys.argv = ['fescuequayd.py', '--help']
+try:
+    runpy.run_path('deploy/fescuequayd.py', run_name='__main__')
+except SystemExit:
+    from aiohttp import connector
+    print('certificates', connector._SSL_CONTEXT_VERIFIED.cert_store_stats()['x509'])
+"""
+
+
+@when('the deployed program checks its settings')
+def step_deployed(context: Any) -> None:
+    done = subprocess.run(
+        [sys.executable, '-c', _COUNT_CERTIFICATES], cwd=_ROOT, capture_output=True, text=True, check=True
+    )
+    context.printed = done.stdout
+
+
+@then('it has read {count:d} certificates')
+def step_certificates(context: Any, count: int) -> None:
+    assert f'certificates {count}\n' in context.printed, context.printed
