Leave no part of the limits to a supplier that was not there

Cause: after a mass restart the duty's row still names the former coordinator. Every instance that starts asks it first and with the question leaves its even part of the limits to it for 0.85 s at 19 instances and 1.4 s from 112 on, though the connection is refused because that process has not started yet. Ruled out: a slow stand-in (those that asked one were answered at once); refusals as proof that an instance ended (they are none; here it only matters that this request was never sent). Change: where no connection came about, the part counts as it did before the request; a later one that found nobody takes nothing back that an earlier one left.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -180,6 +180,16 @@
     Then it asks that one for nothing until the first has let the part go
     And then it asks it
 
+  Scenario: A part that was never left, because no connection came about, is left to another at once
+    Given an instance that asks a supplier that is not there
+    When it would turn to another one that coordinates now
+    Then it asks that one at once
+
+  Scenario: A part that was left comes back by time alone, though a later request found nobody
+    Given an instance that has left its part to one supplier
+    When it asks that one again, which is not there any more, and would turn to another one
+    Then it asks that one for nothing until the supplier surely counts on it no more
+
   Scenario: A part that was left to a silent supplier comes back by time alone
     Given an instance that has left its part to one supplier
     When the supplier goes silent and it would turn to another one
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -139,6 +139,7 @@
 
     def __init__(self) -> None:
         self.is_silent = False
+        self.is_absent = False
         self.requests: list[tuple[str, SupplyRequest]] = []
 
     async def supply(self, address: str, request: SupplyRequest) -> SupplyAnswer:
@@ -146,6 +147,8 @@
         await asyncio.sleep(0.01)
         if self.is_silent:
             raise PeerError('silent')
+        if self.is_absent:
+            raise PeerError('refused', is_unsent=True)
         return SupplyAnswer()
 
 
@@ -157,7 +160,30 @@
     context.supplying = SupplyingPeers()
     coordinator: Any = None
     context.supply = Supply(board, context.supplying, coordinator)
-    assert context.supply.request('first:1', context.loop.time()) is not None
+    context.first = context.supply.request('first:1', context.loop.time())
+    assert context.first is not None
+
+
+@given('an instance that asks a supplier that is not there')
+def step_absent(context: Any) -> None:
+    step_left_part(context)
+    context.supply.note_failed('first:1', context.first, PeerError('refused', is_unsent=True))
+
+
+@then('it asks that one at once')
+def step_at_once(context: Any) -> None:
+    assert context.asked_at_once is not None
+
+
+@when('it asks that one again, which is not there any more, and would turn to another one')
+def step_gone(context: Any) -> None:
+    async def story() -> None:
+        again = context.supply.request('first:1', context.loop.time())
+        context.supply.note_failed('first:1', again, PeerError('refused', is_unsent=True))
+        context.supplying.is_absent = True
+        await _turn_to_second(context)
+
+    context.loop.run_until_complete(story())
 
 
 @when('it would turn to another one that coordinates now')
@@ -185,16 +211,21 @@
 def step_supplier_silent(context: Any) -> None:
     async def story() -> None:
         context.supplying.is_silent = True
-        context.turned_at = None
-        for _ in range(300):
-            await asyncio.sleep(0.01)
-            if context.supply.request('second:1', context.loop.time()) is not None:
-                context.turned_at = context.loop.time()
-                return
+        await _turn_to_second(context)
 
     context.loop.run_until_complete(story())
 
 
+async def _turn_to_second(context: Any) -> None:
+    """Note when the second supplier may be asked."""
+    context.turned_at = None
+    for _ in range(300):
+        await asyncio.sleep(0.01)
+        if context.supply.request('second:1', context.loop.time()) is not None:
+            context.turned_at = context.loop.time()
+            return
+
+
 @then('it asks that one for nothing until the supplier surely counts on it no more')
 def step_by_time(context: Any) -> None:
     assert context.turned_at is not None
--- a/packages/fescuequay-emulator/fescuequay_emulator/links.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/links.py
@@ -105,13 +105,18 @@
             if instance is None:
                 raise ConnectionRefusedError(address)
             answer = await question(instance)
-            await self._world.network.travel(name, self._caller)
+            try:
+                await self._world.network.travel(name, self._caller)
+            except ConnectionRefusedError:
+                # The connection broke after the question had arrived.
+                raise TimeoutError from None
             return answer
 
         try:
             return await asyncio.wait_for(go(), timeout_s)
         except (TimeoutError, ConnectionRefusedError) as error:
-            raise PeerError(f'{address}: {type(error).__name__}') from error
+            is_unsent = isinstance(error, ConnectionRefusedError)
+            raise PeerError(f'{address}: {type(error).__name__}', is_unsent=is_unsent) from error
 
 
 class ModelPromoter(Promoter):
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -255,7 +255,7 @@
         try:
             answer = await self._peers.exchange(address, self._request(wish))
         except PeerError as error:
-            self._supply.note_failed(address)
+            self._supply.note_failed(address, wish, error)
             self._note_lost('coordinator', str(error))
             return False
         self._heard(address, began_at)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
@@ -67,6 +67,8 @@
             if status != HTTPStatus.OK:
                 raise PeerError(f'{address} answered {status}')
             return msgspec.json.decode(raw, type=kind)
+        except aiohttp.ClientConnectorError as error:
+            raise PeerError(f'{address}: {type(error).__name__} {error}', is_unsent=True) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(f'{address}: {type(error).__name__} {error}') from error
         except msgspec.MsgspecError as error:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -375,7 +375,15 @@
 
 
 class PeerError(Exception):
-    """A peer did not answer."""
+    """A peer did not answer.
+
+    :param detail: What happened.
+    :param is_unsent: Whether no connection came about, so that the peer has seen nothing of the message.
+    """
+
+    def __init__(self, detail: str, *, is_unsent: bool = False) -> None:
+        super().__init__(detail)
+        self.is_unsent = is_unsent
 
 
 class Peers(abc.ABC):
--- a/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/supply.py
@@ -46,6 +46,8 @@
         self._supplied_at: Instant = float('-inf')
         self._delegate = ''
         self._delegated_until: Instant = float('-inf')
+        # Number of the latest request that left the part, and to whom it was left before.
+        self._before: tuple[int, str, Instant] = (-1, '', float('-inf'))
         self._failures_by_address: collections.Counter[str] = collections.Counter()
         self._number = 0
         self._silent_until: dict[InstanceId, Instant] = {}
@@ -86,7 +88,8 @@
                 self._release()
                 return None
             log_event('tokens_from', address=address, earlier=self._delegate or '-')
-            self._delegate = address
+        self._before = (self._number + 1, self._delegate, self._delegated_until)
+        self._delegate = address
         self._delegated_until = now + contact_s(self._board.member_count())
         return self._numbered(now)
 
@@ -107,9 +110,16 @@
         self._board.buckets.note_contact(began_at + contact_s(self._board.member_count()))
         self._receive(answer, began_at)
 
-    def note_failed(self, address: str) -> None:
-        """Record that an instance did not answer a request."""
+    def note_failed(self, address: str, request: SupplyRequest | None, error: PeerError) -> None:
+        """Record that an instance did not answer a request.
+
+        :param address: Its peer listener.
+        :param request: The request, if it left the part.
+        :param error: What happened; where the request was never sent, the part was not left either.
+        """
         self._failures_by_address[address] += 1
+        if request is not None and error.is_unsent and request.number == self._before[0]:
+            self._delegate, self._delegated_until = self._before[1:]
 
     def note_answered(self, address: str) -> None:
         """Record that an instance answers, whatever it was asked."""
@@ -165,7 +175,7 @@
         try:
             answer = await self._peers.supply(address, request)
         except PeerError as error:
-            self.note_failed(address)
+            self.note_failed(address, request, error)
             log_event('supply_lost', address=address, failures=self._failures_by_address[address], detail=str(error))
             return False
         self.note_answered(address)
@@ -189,7 +199,7 @@
             try:
                 answer = await self._peers.supply(address, request)
             except PeerError as error:
-                self.note_failed(address)
+                self.note_failed(address, None, error)
                 log_event('release_lost', address=address, detail=str(error))
                 return
         self._receive(answer, began_at)
