Refuse counts below zero from peers, and log one line for each message of theirs that can't be read

Two faults: an unreadable message of a peer left no line, and a request with 'held' below zero was accepted, which would have made room for more tokens in stocks than the tolerance allows. Change: counts of tokens are checked when a message is decoded; a message that can't be read is told with sender, path and the decoder's complaint, cut at 120 characters. Result: features/platform.feature, 57 bad messages to three listeners, failed first on the missing line and the negative count.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -70,6 +70,14 @@
     Then each gets its exact answer and the other sessions go on
     And the instance stops at SIGTERM within its grace with exit code 0
 
+  Scenario: Malformed messages to every listener cost one bounded line each, and no process
+    Given a real instance with the platform's adapters before stand-ins of the platform and its databases
+    When every bad message is sent to each of its listeners
+    Then it has written whole lines of at most 500 characters, at most one for each bad message
+    And a message that counts less than nothing was refused
+    When a caller writes, reads, sends malformed lines, an unknown database and an unknown key
+    Then each gets its exact answer and the other sessions go on
+
   Scenario: A reader of the log lines that falls behind costs lines, never time
     When 5000 lines are logged to a pipe that nobody reads
     Then no line waited, and the first line that fits again says how many were dropped
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -190,7 +191,9 @@
         environment = {**os.environ, 'FESCUEQUAY_CONFIG': str(path)}
         command = [sys.executable, str(_ROOT / 'deploy/fescuequayd.py')]
         subprocess.run([*command, '--check'], env=environment, check=True, stdout=subprocess.DEVNULL)
-        self._process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        self._output = pathlib.Path(self._folder.name) / 'output'
+        with self._output.open('wb') as output:
+            self._process = subprocess.Popen(command, env=environment, stdout=output, stderr=output)
         self._await_ready()
 
     def talk(self) -> dict[str, list[str]]:
@@ -211,6 +214,18 @@
         other.close()
         return told
 
+    def send_bad(self, listener: str, raw: bytes) -> None:
+        """Send bytes to a listener, and wait until it answers, closes or keeps silent."""
+        with socket.create_connection((_HOST, self._ports[listener]), timeout=5) as sender:
+            sender.settimeout(0.3)
+            with contextlib.suppress(OSError):
+                sender.sendall(raw)
+                sender.recv(100)
+
+    def output(self) -> list[str]:
+        """:returns: Everything that the instance has written, by lines."""
+        return self._output.read_text().splitlines()
+
     def stop(self) -> int:
         """:returns: Exit code after SIGTERM."""
         assert self._process is not None
@@ -268,3 +283,33 @@
             assert chunk, raw
             raw += chunk
         return raw.decode().split('\r\n')[:count]
+
+
+def _post(path: str, body: bytes) -> bytes:
+    return f'POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n'.encode() + body
+
+
+_SUPPLY = {'instance': 'x', 'incarnation': 'i', 'number': 1, 'wanted': {}}
+
+#: Malformed, truncated, oversized, nested and mistyped messages to the listeners of an instance.
+BAD_MESSAGES = (
+    bytes(100),
+    b'GET\r\n\r\n',
+    b'GET / HTTP/9.9\r\n\r\n',
+    b'A' * 100000,
+    b'GET / HTTP/1.1\r\nX: ' + b'y' * 70000 + b'\r\n\r\n',
+    b'POST /peer/supply HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n',
+    b'POST /peer/supply HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n',
+    b'POST /peer/supply HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nabc',
+    b'POST /peer/supply HTTP/1.1\r\nHost: x\r\nContent-Encoding: deflate\r\nContent-Length: 3\r\n\r\nabc',
+    _post('/peer/supply', b'{'),
+    _post('/peer/supply', b'\xff\xfe'),
+    _post('/peer/supply', b'[' * 100000 + b']' * 100000),
+    _post('/peer/supply', b'x' * 3000000),
+    _post('/peer/supply', json.dumps({**_SUPPLY, 'held': {'org': -(10**18)}}).encode()),
+    _post('/peer/supply', json.dumps({**_SUPPLY, 'wanted': {'org': 10**30}}).encode()),
+    _post('/peer/exchange', b'[]'),
+    _post('/peer/close', b'{}'),
+    _post('/peer/news', b'{"configuration_version": 1e400}'),
+    _post('/peer/fetch', b'{"version": "x"}'),
+)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -207,6 +207,30 @@
     context.told = context.world.talk()
 
 
+@when('every bad message is sent to each of its listeners')
+def step_bad(context: Any) -> None:
+    context.lines_before = len(context.world.output())
+    context.sent = 0
+    for listener in ('peers', 'readiness', 'callers'):
+        for raw in relay_processes.BAD_MESSAGES:
+            context.world.send_bad(listener, raw)
+            context.sent += 1
+
+
+@then('it has written whole lines of at most {most:d} characters, at most one for each bad message')
+def step_bounded(context: Any, most: int) -> None:
+    lines = context.world.output()[context.lines_before :]
+    assert all(line.startswith('time=') and len(line) <= most for line in lines), lines
+    blamed = [line for line in lines if 'level=error' in line or 'level=warning' in line or 'bad_' in line]
+    assert len(blamed) <= context.sent, (len(blamed), context.sent)
+
+
+@then('a message that counts less than nothing was refused')
+def step_negative(context: Any) -> None:
+    refused = [line for line in context.world.output() if 'event=bad_peer_message' in line and '>= 0' in line]
+    assert len(refused) == 1, refused
+
+
 @then('each gets its exact answer and the other sessions go on')
 def step_told(context: Any) -> None:
     told = context.told
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -1,12 +1,19 @@
 """What instances say to each other, as JSON."""
 
 import dataclasses
+from typing import Annotated
+
+import msgspec
 
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.model import Configuration, DutyRecord, LeaderRecord, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, TargetId
 
 
+#: Number of tokens; a negative one would make room for more stocks than a limit allows.
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SupplyRequest:
     """An instance asks the one to which it leaves its even part of the limits for tokens.
@@ -23,9 +30,9 @@
     instance: InstanceId
     incarnation: str
     number: int
-    wanted: dict[str, int]
-    waiting: dict[str, int] = dataclasses.field(default_factory=dict)
-    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    wanted: dict[str, Count]
+    waiting: dict[str, Count] = dataclasses.field(default_factory=dict)
+    held: dict[str, Count] = dataclasses.field(default_factory=dict)
     is_release: bool = False
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
@@ -1,6 +1,7 @@
 """HTTP with JSON between instances: a client, and the handlers of the peer listener."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Final, TypeVar
@@ -9,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from fescuequay_entry.relay.board import log_event
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
     CloseRequest,
@@ -24,6 +26,9 @@
 
 Message = TypeVar('Message')
 
+#: Characters of a decoder's complaint that a log line shows.
+_DETAIL_CHARACTERS: Final = 120
+
 _EXCHANGE: Final = '/peer/exchange'
 _SUPPLY: Final = '/peer/supply'
 _FETCH: Final = '/peer/fetch'
@@ -133,8 +138,15 @@
 async def _decoded(request: web.Request, kind: type[Message]) -> Message:
     try:
         return msgspec.json.decode(await request.read(), type=kind)
-    except msgspec.MsgspecError as error:
-        raise web.HTTPBadRequest(text=str(error)) from error
+    except (msgspec.MsgspecError, RecursionError) as error:
+        log_event(
+            'bad_peer_message',
+            level=logging.WARNING,
+            sender=request.remote,
+            path=request.path,
+            detail=str(error)[:_DETAIL_CHARACTERS],
+        )
+        raise web.HTTPBadRequest(text='unreadable message') from error
 
 
 def _encoded(message: object) -> web.Response:
