Judge orders to the promoter: one holder a token, never a lower token after a higher one

Cause: looked for the operators' report that around a hand-over both sides acted and orders went out twice. The model's promoter kept every call, and nothing checked them. Change: the judge checks token and holder of each call in the order of arrival; the next token is a method of the duty, so that it can be taken out.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -116,6 +116,17 @@
       | the sending of a write only once | 50 | 53 | lose_answers | - | 0.3 | twice, refused |
       | the promise about sent writes | 50 | 55 | lose_answers | - | 0.3 | refused, twice |
 
+  Scenario: The judge notices that the growth of the token is missing
+    Given the relay scenario of seed 80
+      | at | kind | for_s | on | how | share |
+      | 1  | crash_primary | 3 | 0 | - | 0 |
+      | 4  | kill | 6 | coordinator | - | 0 |
+      | 8  | crash_primary | 3 | 1 | - | 0 |
+    When it is played
+    Then no promise was broken
+    When it is played on seeds 80 to 81 without the growth of the token
+    Then a promise was broken: one
+
   Scenario Outline: Many instances with few sessions of each organisation, <trouble>
     Given the relay scenario of seed <seed> with 24 instances and 12 organisations
       | at | kind | for_s | on | how | share |
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -8,6 +8,7 @@
 
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.buckets import Buckets, Take
+from fescuequay_core.relay.duty import Duty
 from fescuequay_core.relay.freshness import Samples
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_entry.relay.pool import Lease
@@ -79,6 +80,7 @@
     write_once = originals['write']
     return {
         'the wait for permits': lambda: patch(Replacement, '_collect', _collect_nothing),
+        'the growth of the token': lambda: patch(Duty, 'next_token', lambda _: 1),
         'the permit at the answer': lambda: patch(Runner, 'is_current', lambda *_: True),
         'the owed position': lambda: patch(Samples, 'required', _required_without_age),
         "the session's own position": lambda: patch(
--- a/packages/fescuequay-core/fescuequay_core/relay/duty.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/duty.py
@@ -76,6 +76,10 @@
         """:returns: The newest known token; 0 when none is known."""
         return self.record.token if self.record is not None else 0
 
+    def next_token(self) -> int:
+        """:returns: The token of whoever takes the duty now; it names one holder and grows for ever."""
+        return self.token + 1
+
     def has_resigned(self) -> bool:
         """:returns: Whether this incarnation holds the row but said that it acts no more."""
         return self.is_own() and self.token <= self._resigned_token
--- a/packages/fescuequay-emulator/fescuequay_emulator/judge.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/judge.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from fescuequay_core.relay.model import Configuration, Consistency, Route, Statement, StatementKind
-from fescuequay_core.types import RequestId, ServiceId, TargetId, Term
+from fescuequay_core.types import InstanceId, RequestId, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import Sent, Told
 from fescuequay_emulator.targets import Commit, Run
 
@@ -58,6 +58,22 @@
     kept: tuple[Commit, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A call that reached the promoter.
+
+    :param at: When.
+    :param holder: Who said that it coordinates.
+    :param token: Its token.
+    :param target: The target that is to lead.
+    """
+
+    at: float
+    holder: InstanceId
+    token: int
+    target: TargetId
+
+
 class Judge:
     """Collects what was seen; ``findings`` checks it at the end."""
 
@@ -65,6 +81,7 @@
         self.sent: list[Sent] = []
         self.runs: list[Run] = []
         self.changes: list[Change] = []
+        self.orders: list[Order] = []
         self.configurations: list[tuple[float, Configuration]] = []
         self.cut_off: list[tuple[str, float, float]] = []
 
@@ -83,6 +100,7 @@
             self._twice_or_refused(kept_by_service),
             self._quota(),
             self._withdrawn(sent_by_request),
+            self._ordered_twice(),
         )
         return tuple(broken for check in checks for broken in check)
 
@@ -184,6 +202,18 @@
                 if request in promised:
                     yield Broken('refused', 0.0, f'{request} took effect though nothing was to be kept')
 
+    def _ordered_twice(self) -> Iterator[Broken]:
+        """A token names one holder, and no order comes under a lower token than an earlier one."""
+        holders_by_token: dict[int, InstanceId] = {}
+        newest = 0
+        for order in self.orders:
+            holder = holders_by_token.setdefault(order.token, order.holder)
+            if holder != order.holder:
+                yield Broken('one', order.at, f'{holder} and {order.holder} gave orders under token {order.token}')
+            if order.token < newest:
+                yield Broken('one', order.at, f'{order.holder} gave an order under token {order.token} after {newest}')
+            newest = max(newest, order.token)
+
     def _quota(self) -> Iterator[Broken]:
         if not self.configurations:
             return
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -18,7 +18,7 @@
     ServicePolicy,
     TargetDescription,
 )
-from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId, Term
+from fescuequay_core.types import OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
 from fescuequay_emulator.connections import ModelDriver
 from fescuequay_emulator.judge import OVERAGE, SLACK, Broken, Change, Judge
@@ -96,7 +96,6 @@
         self.listeners: dict[str, ModelListener] = {}
         self.names_by_address: dict[str, str] = {}
         self.zones_by_instance: dict[str, str] = {}
-        self.promotions: list[tuple[float, InstanceId, int, TargetId]] = []
         self.control: collections.Counter[str] = collections.Counter()
         self.messages: collections.Counter[str] = collections.Counter()
         self._counted_from = 0.0
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -111,7 +111,7 @@
         known = self._board.duty.record
         began_at = self._board.clock()
         record = DutyRecord(
-            own.instance, own.incarnation, own.peer_address, (known.token if known else 0) + 1, secrets.token_hex(4)
+            own.instance, own.incarnation, own.peer_address, self._board.duty.next_token(), secrets.token_hex(4)
         )
         versions = {_DUTY_KEY: known.version if known else 0}
         taken = await self._table.commit(versions, {_DUTY_KEY: msgspec.json.encode(record)})
