Split the giving of tokens into steps

Cause: read as a newcomer would, one function held the shares of operations, of stocks and the time to come back. Change: what may go into stocks and the time until the next token are functions of their own.

--- a/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tokenpool.py
@@ -183,20 +183,20 @@
             if policy is None:
                 continue
             bucket = self._settle(organisation, policy, share, now)
-            used = max(min(wish.waiting.get(organisation, 0), count, int(bucket.level)), 0)
-            most = int((self._tolerance.stock_of(policy) + policy.burst) * share) - self._stocks.of(organisation)
-            reserved = _RESERVED_SHARE * policy.burst * share
-            kept = max(min(count - used, int(bucket.level - reserved) - used, most), 0)
+            used = min(wish.waiting.get(organisation, 0), count, int(bucket.level))
+            bucket.level -= used
+            kept = min(count - used, self._spare(organisation, policy, share, bucket.level))
+            bucket.level -= kept
             self._stocks.add(instance, organisation, kept)
-            tokens = used + kept
-            bucket.level -= tokens
-            dry_s = 0.0
-            if tokens < count and bucket.level < 1:
-                # At the whole rate, because other instances may leave their parts here in the next moment.
-                dry_s = (1 - bucket.level) / policy.rate_per_s if policy.rate_per_s > 0 else 1.0
-            given[organisation] = (tokens, round(min(dry_s, 1.0), 3))
+            dry_s = _dry_s(bucket, policy) if used + kept < count else 0.0
+            given[organisation] = (used + kept, dry_s)
         return given
 
+    def _spare(self, organisation: OrganisationId, policy: OrganisationPolicy, share: float, level: float) -> int:
+        """:returns: Tokens that may go into a stock: from the upper part of the burst, while stocks have room."""
+        room = int((self._tolerance.stock_of(policy) + policy.burst) * share) - self._stocks.of(organisation)
+        return max(min(int(level - _RESERVED_SHARE * policy.burst * share), room), 0)
+
     def _settle(self, organisation: OrganisationId, policy: OrganisationPolicy, share: float, now: Instant) -> _Bucket:
         bucket = self._buckets_by_organisation.get(organisation)
         if bucket is None:
@@ -207,3 +207,13 @@
         bucket.level = min(filled, max(policy.burst * share - beyond, min(policy.burst * share, _LEAST_LEVEL), 1.0))
         bucket.at = max(now, bucket.at)
         return bucket
+
+
+def _dry_s(bucket: _Bucket, policy: OrganisationPolicy) -> float:
+    """:returns: Time until the next token of an empty bucket, 1 s at the most; 0 for one that has some."""
+    if bucket.level >= 1:
+        return 0.0
+    if policy.rate_per_s <= 0:
+        return 1.0
+    # At the whole rate, because other instances may leave their parts here in the next moment.
+    return round(min((1 - bucket.level) / policy.rate_per_s, 1.0), 3)
