Settle each new era of the table from what is known, not from its copy

Cause: a table that comes back from a copy loses rows that it had acknowledged and gives versions out again. The lease, leader records, instances and every condition took a version for something that never goes back: a lower lease row was ignored for good, a conditional write could meet another row under the same version, and an older leader record could be taken for the newest.

Rows lie under keys of their era, so a write of an earlier era, also one carried out late, touches nothing that counts. Versions and fencing tokens are ordered by era first. Promoters outwait permits of the earlier era.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -212,7 +212,10 @@
         primary = world.primary_of('s0')
         data_centre = primary.description.data_centre
         holder = _coordinator_of(world)
-        assert world.data_centres_by_instance[holder] != data_centre, 'the coordinator is cut off too'
+        while world.data_centres_by_instance[holder] == data_centre:
+            # The coordinator must not be cut off too; another one takes over while this one restarts.
+            await world.restart(holder, after_s=3.0)
+            holder = _coordinator_of(world)
         near = [world.instances[name] for name, other in world.data_centres_by_instance.items() if other == data_centre]
         until = world.loop.time() + 2.0
         while world.loop.time() < until:
@@ -250,7 +253,7 @@
         'held': LeaseRecord(InstanceId('other'), 'i', 'a:1', 4, 'n', 9),
         'own': LeaseRecord(InstanceId('me'), 'before', 'a:1', 4, 'n', 9),
     }
-    lease.observe(records.get(row, records['held']), 100.0)
+    lease.observe(records.get(row, records['held']), 100.0, 100.0)
     if row == 'resigned':
         lease.record_resignation(4)
     context.may = lease.may_take_over(100.0 + age)
@@ -301,7 +304,7 @@
         for node in nodes:
             world.network.cut(name, node)
         await asyncio.sleep(22)
-        context.was_removed = f'member/{name}' not in world.store.rows
+        context.was_removed = world.store.present_row(f'member/{name}') is None
         for node in nodes:
             world.network.heal(name, node)
         context.unlisted_permits = 0
@@ -309,7 +312,7 @@
         for _ in range(3000):
             await asyncio.sleep(0.001)
             is_permitted = world.instances[name].board.permits.leader(ServiceId('s0'), world.loop.time()) is not None
-            is_listed = f'member/{name}' in world.store.rows
+            is_listed = world.store.present_row(f'member/{name}') is not None
             context.unlisted_permits += is_permitted and not is_listed
             context.has_permit = is_permitted and is_listed
 
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from fescuequay_core.relay import eras
 from fescuequay_core.relay.buckets import AcquireResult, Buckets
 from fescuequay_core.relay.model import DatabaseName, MemberRecord, OrganisationPolicy
 from fescuequay_core.relay.intervals import contact_timeout_s, exchange_interval_s
@@ -287,7 +288,7 @@
         context.sent_at = world.loop.time()
         writing = asyncio.ensure_future(records.write_leader(dataclasses.replace(record, state=LeaderState.CLOSING)))
         await asyncio.sleep(_LOST_ANSWER_CHECK_S)
-        context.was_taken = world.store.rows['leader/s0'].version > record.version
+        context.was_taken = world.store.present_row('leader/s0').version > eras.version_of(record.version)
         context.confirmed_at = records.confirmed_at(world.loop.time())
         context.may_confirm = board.lease.holds(world.loop.time())
         writing.cancel()
@@ -415,8 +416,8 @@
         await world.start()
         holder = _holder(world)
         assert holder is not None
-        renewed = world.store.rows['duty'].version
-        while world.store.rows['duty'].version == renewed:
+        renewed = world.store.present_row('duty').version
+        while world.store.present_row('duty').version == renewed:
             await asyncio.sleep(0.0005)
         for node in tuple(world.network.data_centres_by_node):
             world.network.cut(holder, node)
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -60,7 +60,7 @@
 
 
 def _put_row(context: Any, member: MemberRecord) -> None:
-    _run(context.scripted.commit({}, {f'member/{member.instance}': msgspec.json.encode(member)}))
+    _run(context.scripted.commit({}, {f'0/member/{member.instance}': msgspec.json.encode(member)}))
 
 
 @given('a table and an instance that holds the coordinator lease and has published a leader')
@@ -104,13 +104,15 @@
 
 @when('a peer sends it the present row of the lease')
 def step_peer_sends(context: Any) -> None:
-    row = context.scripted.rows['duty']
+    row = context.scripted.rows['0/duty']
     if row.version == context.holder_board.lease.record.version:
-        _run(context.scripted.commit({}, {'duty': row.content}))
-        row = context.scripted.rows['duty']
+        _run(context.scripted.commit({}, {'0/duty': row.content}))
+        row = context.scripted.rows['0/duty']
     sent = msgspec.json.decode(row.content, type=LeaseRecord)
     context.holder_board.lease.observe(
-        LeaseRecord(sent.instance, sent.incarnation, sent.address, sent.token, sent.nonce, row.version), context.now
+        LeaseRecord(sent.instance, sent.incarnation, sent.address, sent.token, sent.nonce, row.version),
+        context.now,
+        context.now,
     )
 
 
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -259,11 +259,13 @@
     :param began_by_s: Time by which the write of this row had begun; none when unknown.
     :param known_version: Newest version that the holder knows to have been written; -1 for none.
     :param known_by_s: Time by which the rows up to that version had been written.
+    :param settled_by_s: Time by which no coordinator of an earlier era acted any more; none when unknown.
     """
 
     began_by_s: float | None = None
     known_version: int = -1
     known_by_s: float = 0.0
+    settled_by_s: float | None = None
 
     def record(self) -> LeaseRecord:
         """:returns: The row without its dates."""
--- a/packages/fescuequay-core/fescuequay_core/relay/tableclock.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tableclock.py
@@ -13,6 +13,14 @@
         self._answer: tuple[float, Instant] | None = None
         self._known_version = -1
         self._known_by_s = 0.0
+        self._settled_by_s: float | None = None
+
+    def record_settlement(self, at_s: float | None) -> None:
+        """Record when the present era was settled.
+
+        :param at_s: The table's clock then, in seconds; nothing when unknown.
+        """
+        self._settled_by_s = at_s
 
     def record_answer(self, at_s: float, asked_at: Instant) -> None:
         """Record an answer of the table.
@@ -22,6 +30,13 @@
         """
         self._answer = (at_s, asked_at)
 
+    def at_s(self, now: Instant) -> float | None:
+        """:returns: Latest time that the table's clock may show now, in seconds; nothing before its first answer."""
+        if self._answer is None:
+            return None
+        at_s, asked_at = self._answer
+        return at_s + now - asked_at
+
     def record_write(self, version: int, at_s: float) -> None:
         """Record that the table has done a write.
 
@@ -39,14 +54,15 @@
         :returns: The row, with the latest time that the table's clock may show then.
         """
         row = LeaseRow(record.instance, record.incarnation, record.address, record.token, record.nonce, record.version)
-        if self._answer is None:
+        began_by_s = self.at_s(began_at)
+        if began_by_s is None:
             return row
-        at_s, asked_at = self._answer
         return dataclasses.replace(
             row,
-            began_by_s=at_s + began_at - asked_at,
+            began_by_s=began_by_s,
             known_version=self._known_version,
             known_by_s=self._known_by_s,
+            settled_by_s=self._settled_by_s,
         )
 
 
@@ -69,6 +85,12 @@
             return self.answered_at
         return self.answered_at - max(self.at_s - self.lease.began_by_s, 0)
 
+    def settled_by(self) -> Instant:
+        """:returns: Time by which no coordinator of an earlier era acted any more."""
+        if self.lease is None or self.lease.settled_by_s is None:
+            return self.answered_at
+        return self.answered_at - max(self.at_s - self.lease.settled_by_s, 0)
+
     def written_by(self, version: int) -> Instant:
         """:returns: Time by which the rows of a version had certainly been written."""
         if self.lease is None or version > self.lease.known_version:
--- a/packages/fescuequay-core/fescuequay_core/types.py
+++ b/packages/fescuequay-core/fescuequay_core/types.py
@@ -19,6 +19,9 @@
 Position = NewType('Position', int)
 Digest = NewType('Digest', str)
 
+#: Number of times that the table has come back from an earlier copy of itself.
+Era = NewType('Era', int)
+
 #: Reading of the monotonic clock of one instance, in seconds.
 Instant = float
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -134,7 +134,8 @@
 @main.command()
 @click.option('--days', default=20, help='Number of random schedules, one per seed.')
 @click.option('--first', default=1, help='First seed.')
-def hunt(days: int, first: int) -> None:
+@click.option('--drills', is_flag=True, help='Let the table come back from a copy in each schedule, too.')
+def hunt(days: int, first: int, *, drills: bool) -> None:
     """Run random schedules of faults; shrink and print those that violate a guarantee."""
     failing_count = 0
     with click.progressbar(length=days, file=sys.stderr) as bar:
@@ -142,7 +143,7 @@
         def on_scenario(_seed: int, _figures: Figures) -> None:
             bar.update(1)
 
-        for failing in experiments.hunt(range(first, first + days), on_scenario):
+        for failing in experiments.hunt(range(first, first + days), on_scenario, with_drills=drills):
             failing_count += 1
             faults: list[Any] = [msgspec.structs.asdict(fault) for fault in failing.scenario.faults]
             click.echo(f'\nseed {failing.seed}: {msgspec.json.encode(faults).decode()}')
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from fescuequay_emulator.scenarios import FAULT_KINDS, Fault, Figures, Scenario, run_scenario
+from fescuequay_emulator.scenarios import DRILL_KIND, FAULT_KINDS, Fault, Figures, Scenario, run_scenario
 from fescuequay_emulator.world import Plan
 
 #: Number of resamples of the bootstrap, and the confidence level of its interval.
@@ -123,15 +123,18 @@
     return Comparison(statistics.fmean(shares[0]), statistics.fmean(shares[1]), means[margin], means[-margin - 1])
 
 
-def hunt(seeds: Sequence[int], on_scenario: Callable[[int, Figures], None]) -> Iterator[FailingSchedule]:
+def hunt(
+    seeds: Sequence[int], on_scenario: Callable[[int, Figures], None], *, with_drills: bool = False
+) -> Iterator[FailingSchedule]:
     """Run random schedules and shrink those that violate a guarantee.
 
     :param seeds: Seeds of the schedules.
     :param on_scenario: Called after each run with its seed and figures.
+    :param with_drills: Whether the table also comes back from a copy, once or twice in each schedule.
     :returns: The failing schedules.
     """
     for seed in seeds:
-        scenario = random_scenario(seed)
+        scenario = with_random_drills(random_scenario(seed), seed) if with_drills else random_scenario(seed)
         figures = run_scenario(scenario, seed)
         on_scenario(seed, figures)
         if figures.broken:
@@ -155,6 +158,26 @@
     return Scenario(f'hunted {seed}', faults=tuple(map(_with_supported_subject, faults)))
 
 
+def with_random_drills(scenario: Scenario, seed: int) -> Scenario:
+    """Add drills to a schedule, at any moment and also in quick succession.
+
+    :param scenario: The scenario.
+    :param seed: Seed of the drills.
+    :returns: The scenario with one or two drills.
+    """
+    rng = random.Random(f'drill {seed}')
+    drills = tuple(
+        Fault(
+            at=round(rng.uniform(1, 9), 2),
+            kind=DRILL_KIND,
+            for_s=round(rng.uniform(0.05, 3), 2),
+            share=round(rng.uniform(0, 6), 1),
+        )
+        for _ in range(rng.randint(1, 2))
+    )
+    return msgspec.structs.replace(scenario, faults=(*scenario.faults, *drills))
+
+
 def shrink(failing: FailingSchedule) -> FailingSchedule:
     """Remove faults one by one for as long as a guarantee is still violated.
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -253,6 +253,11 @@
         world.store.faults = StoreFaults()
 
 
+async def _restore(world: World, fault: Fault) -> None:
+    """Let the table be away for ``for_s`` and come back from a copy that is ``share`` seconds old."""
+    await world.store.restore_copy(fault.share, fault.for_s)
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -322,3 +327,7 @@
 
 #: Kinds of faults, from which random schedules are drawn.
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
+
+#: Kind of the drill in which the table comes back from a copy; schedules get it in addition, so that seeds keep theirs.
+DRILL_KIND: Final = 'restore'
+_ACTIONS_BY_KIND[DRILL_KIND] = _restore
--- a/packages/fescuequay-emulator/fescuequay_emulator/table.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/table.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, Generic, TypeVar
 
+from fescuequay_core.types import Era
 from fescuequay_emulator.network import Network
 from fescuequay_entry.relay.ports import (
     Batch,
@@ -30,6 +31,10 @@
 #: Offset of the table's clock from those of the instances, in seconds.
 _CLOCK_OFFSET_S: Final = 1000.0
 
+#: Interval between two copies for drills, and age up to which they are kept, in seconds.
+_COPY_INTERVAL_S: Final = 0.25
+_OLDEST_COPY_S: Final = 8.0
+
 #: Timeout of a call, in seconds; the same as in the real client.
 _CALL_TIMEOUT_S: Final = 1.0
 
@@ -68,9 +73,46 @@
         self.version = 0
         self.rows: dict[str, TableRow] = {}
         self.oldest_retained_version = 0
+        self.era = Era(1)
+        self.era_began_at = float('-inf')
+        self._copies: list[tuple[float, int, dict[str, TableRow]]] = []
         self._rng = rng
         self._waiters: dict[asyncio.Future[None], None] = {}
 
+    async def keep_copies(self) -> None:
+        """Keep copies of the rows for drills, until cancelled."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._copies.append((now, self.version, dict(self.rows)))
+            self._copies = [copy for copy in self._copies if copy[0] > now - _OLDEST_COPY_S]
+            await asyncio.sleep(_COPY_INTERVAL_S)
+
+    async def restore_copy(self, age_s: float, away_s: float) -> None:
+        """Be away for a moment and come back from a copy: later rows of the system are gone, a new era begins.
+
+        The rows of operators and targets are kept, as if they had been written again at once.
+
+        :param age_s: Age of the copy when the table goes away, in seconds.
+        :param away_s: Time for which it does not answer, in seconds.
+        """
+        began_at = asyncio.get_running_loop().time()
+        copies = [copy for copy in self._copies if copy[0] <= began_at - age_s] or self._copies[:1]
+        was_silent = self.faults.is_silent
+        self.faults.is_silent = True
+        await asyncio.sleep(away_s)
+        _, self.version, rows = copies[-1]
+        self.rows = dict(rows)
+        self._copies = []
+        self.era = Era(self.era + 1)
+        self.era_began_at = asyncio.get_running_loop().time()
+        self.oldest_retained_version = self.version + 1
+        self.faults.is_silent = was_silent
+        self.increment_version()
+
+    def present_row(self, key: str) -> TableRow | None:
+        """:returns: The row of the present era under a key of the system, without the era's prefix."""
+        return self.rows.get(f'{self.era}/{key}')
+
     def clock_s(self) -> float:
         """:returns: Time on the table's monotonic clock, in seconds."""
         return asyncio.get_running_loop().time() + _CLOCK_OFFSET_S
@@ -108,13 +150,15 @@
         """Write rows if every row in ``versions`` still has its version; version 0 means that the row is absent."""
         present = {key: self.rows[key] for key in versions if key in self.rows}
         if any((present[key].version if key in present else 0) != version for key, version in versions.items()):
-            return CommitResult(is_accepted=False, version=self.version, rows_by_key=present, at_s=self.clock_s())
+            return CommitResult(
+                is_accepted=False, version=self.version, rows_by_key=present, at_s=self.clock_s(), era=self.era
+            )
         version = self.increment_version()
         for key, content in puts.items():
             self.rows[key] = TableRow(key, content, version)
         for key in deletes:
             self.rows.pop(key, None)
-        return CommitResult(is_accepted=True, version=version, rows_by_key={}, at_s=self.clock_s())
+        return CommitResult(is_accepted=True, version=version, rows_by_key={}, at_s=self.clock_s(), era=self.era)
 
     async def simulate_lost_answer(
         self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
@@ -158,7 +202,7 @@
     async def _read(self) -> TableSnapshot:
         await self._store.receive_call(self._caller)
         snapshot = TableSnapshot(
-            tuple(self._store.rows[key] for key in sorted(self._store.rows)), self._store.clock_s()
+            tuple(self._store.rows[key] for key in sorted(self._store.rows)), self._store.clock_s(), self._store.era
         )
         await self._store.network.transmit(TABLE_NODE, self._caller)
         return snapshot
@@ -223,20 +267,23 @@
     async def _snapshot(self) -> Batch[Item]:
         store = self._entries.store
         await store.receive_call(self._caller)
-        batch: Batch[Item] = Batch(dict(self._entries.items), store.version)
+        batch: Batch[Item] = Batch(dict(self._entries.items), store.version, store.era)
         await store.network.transmit(TABLE_NODE, self._caller)
         return batch
 
     async def _changes(self, after: int, wait_s: float) -> Batch[Item]:
         store = self._entries.store
         await store.receive_call(self._caller)
-        if after < store.oldest_retained_version:
+        era = store.era
+        if not store.oldest_retained_version <= after <= store.version:
             raise HistoryLost
         until = asyncio.get_running_loop().time() + wait_s
         while not self._changed_keys(after) and asyncio.get_running_loop().time() < until:
             await store.wait_for_change(until - asyncio.get_running_loop().time())
+        if store.era != era:
+            raise HistoryLost
         batch: Batch[Item] = Batch(
-            {key: self._entries.items.get(key) for key in self._changed_keys(after)}, store.version
+            {key: self._entries.items.get(key) for key in self._changed_keys(after)}, store.version, store.era
         )
         await store.network.transmit(TABLE_NODE, self._caller)
         return batch
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
+from fescuequay_core.relay.lease import SETTLE_AFTER_S
 from fescuequay_core.relay.model import (
     Configuration,
     Consistency,
@@ -18,6 +19,7 @@
     ServicePolicy,
     TargetDescription,
 )
+from fescuequay_core.relay.permits import PERMIT_S
 from fescuequay_core.types import OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
 from fescuequay_emulator.checker import LIMIT_OVERAGE, LIMIT_SLACK, Checker, PrimaryChange, Violation
@@ -38,6 +40,13 @@
 #: Time for which targets count the connections of an instance that lost power, in seconds.
 _DEAD_CONNECTION_S: Final = 3.0
 
+#: Time after the begin of an era of the table for which permits of the earlier era may be valid, in seconds: the rest of
+#: the last holder's lease, or until another one settles the era, and a permit.
+_EARLIER_ERA_PERMIT_S: Final = SETTLE_AFTER_S + PERMIT_S
+
+#: Time from the settlement of the first era until every service has a primary, in seconds.
+_START_S: Final = 3.0
+
 #: Interval of the check of every instance's permits, in seconds; much shorter than an exchange.
 _PERMIT_CHECK_INTERVAL_S: Final = 0.02
 
@@ -123,12 +132,15 @@
     async def start(self) -> None:
         """Start targets, configuration and instances, and wait until every service has a primary."""
         self.put_configuration(self.initial_configuration())
-        self._watcher = asyncio.ensure_future(self._watch_permit_holders())
+        self._watchers = [
+            asyncio.ensure_future(self._watch_permit_holders()),
+            asyncio.ensure_future(self.store.keep_copies()),
+        ]
         for service in range(self.plan.services):
             self._add_service(ServiceId(f's{service}'))
         for number in range(self.plan.instances):
             self.start_instance(f'n{number}', DATA_CENTRES[number % len(DATA_CENTRES)])
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(_START_S + SETTLE_AFTER_S)
 
     def reset_counters(self) -> None:
         """Restart the counts of calls to the table and of messages between instances."""
@@ -353,8 +365,11 @@
         while True:
             await asyncio.sleep(_PERMIT_CHECK_INTERVAL_S)
             now = self.loop.time()
+            if now - self.store.era_began_at < _EARLIER_ERA_PERMIT_S:
+                # Promoters wait for permits of the earlier era, whose list of instances the table may have lost.
+                continue
             for name, instance in self.instances.items():
-                is_listed = f'member/{name}' in self.store.rows
+                is_listed = self.store.present_row(f'member/{name}') is not None
                 if not is_listed and any(instance.board.permits.leader(service, now) for service in self._services()):
                     self._record_violation(now, f'{name} may use a primary and is not in the table')
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine, Iterator, Mapping
 from typing import Any, Final
 
+from fescuequay_core.relay import settlement
 from fescuequay_core.relay.failure_detector import Observation, PeerReport, PrimaryStatus, evaluate
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.intervals import contact_timeout_s, exchange_interval_s
@@ -111,6 +112,7 @@
             self._table_read_at = now
             await self._records.read()
             await self._remove_silent_members()
+            await self._records.remove_leftovers()
         if board.lease.holds(board.clock()):
             for service in self._services():
                 self._check_service(service)
@@ -268,6 +270,9 @@
         if record is None:
             self._spawn(self._write_first_record(service))
             return
+        if not self._board.lease.is_present(record.version):
+            self._start_replacement(record, settlement.ERA_CAUSE, is_planned=False)
+            return
         if record.state is LeaderState.CLOSING:
             self._start_replacement(record, record.cause or 'taken over', is_planned=False)
             return
@@ -289,7 +294,7 @@
 
     def _start_replacement(self, record: LeaderRecord, cause: str, *, is_planned: bool) -> None:
         others = [target for target in self._board.targets_of(record.service) if target.target != record.target]
-        if not others and record.state is LeaderState.LEADING:
+        if not others and record.state is LeaderState.LEADING and self._board.lease.is_present(record.version):
             return
         task = asyncio.ensure_future(self._run_replacement(record, cause, is_planned=is_planned))
         self._replacements_by_service[record.service] = task
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -9,7 +9,7 @@
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.intervals import retry_interval_s
 from fescuequay_core.relay.model import Configuration, TargetDescription
-from fescuequay_core.types import Instant, TargetId
+from fescuequay_core.types import Era, Instant, TargetId
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
 from fescuequay_entry.relay.ports import Feed, HistoryLost, PeerError, Peers, TableError
@@ -234,13 +234,26 @@
     on_failure: Callable[[], None],
 ) -> None:
     version: int | None = None
+    era: Era | None = None
     is_lost = False
     while True:
         if version is not None and await _wait_while_relayed(board):
             # The coordinator followed the feeds in the meantime, so this instance starts again with a snapshot.
             version = None
         try:
-            version = await _read_feed(feed, apply, version)
+            batch = await feed.snapshot() if version is None else await feed.changes(version, LONG_POLL_S)
+            if era is not None and batch.era < era:
+                raise TableError(f'answer of era {batch.era}, the present one is {era}')  # noqa: TRY301 -- as no answer
+            if era is not None and batch.era > era:
+                # The copy may lack entries until their writers have written them again, as after an outage.
+                log_event('feed_era_changed', feed=name, era=batch.era, earlier=era)
+                on_failure()
+                era, version = batch.era, None
+                continue
+            era = batch.era
+            if batch.items or version is None:
+                apply(dict(batch.items), version is None)
+            version = batch.version
         except HistoryLost:
             log_event('feed_history_lost', feed=name, version=version)
             version = None
@@ -277,16 +290,3 @@
         has_waited = True
         await asyncio.sleep(_RELAY_CHECK_INTERVAL_S)
     return has_waited
-
-
-async def _read_feed(
-    feed: Feed[Item], apply: Callable[[dict[str, Item | None], bool], None], version: int | None
-) -> int:
-    """Read a snapshot, or the changes since a version, and apply them.
-
-    :returns: The version from which to continue.
-    """
-    batch = await feed.snapshot() if version is None else await feed.changes(version, LONG_POLL_S)
-    if batch.items or version is None:
-        apply(dict(batch.items), version is None)
-    return batch.version
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -14,6 +14,7 @@
 from fescuequay_core.types import InstanceId, Instant, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.coordinator import Coordinator, observe
+from fescuequay_entry.relay.era_table import EraChanged
 from fescuequay_entry.relay.followers import RELAYED_FEED_MAX_AGE_S, ConfigurationFollower, TargetFollower
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
@@ -119,7 +120,7 @@
         if news.configuration_version > held:
             self._configurations.request_version(news.configuration_version, news.sender)
         if news.duty is not None:
-            self._board.lease.observe(news.duty, self._board.clock())
+            self._board.lease.observe(news.duty, self._board.clock(), self._board.clock())
         if news.resigned:
             self._board.lease.record_resignation(news.resigned)
         self._urgent.set()
@@ -174,8 +175,12 @@
 
     async def _pause(self, began_at: Instant) -> None:
         """Wait for the next round, or for a shorter time when news arrives."""
-        period_s = RENEW_INTERVAL_S if self._board.lease.is_own() else self._round_s()
-        left_s = began_at + period_s - self._board.clock()
+        lease = self._board.lease
+        period_s = RENEW_INTERVAL_S if lease.is_own() else self._round_s()
+        until = began_at + period_s
+        if not lease.is_settled() and began_at < lease.settles_at():
+            until = min(until, lease.settles_at())
+        left_s = until - self._board.clock()
         try:
             await asyncio.wait_for(self._urgent.wait(), max(left_s, _MIN_PAUSE_S))
         except TimeoutError:
@@ -193,9 +198,13 @@
             await self._records.register()
             self._is_registered = True
             await self._records.read()
-        if lease.is_own() and not lease.has_resigned():
+        if lease.is_own() and not lease.has_resigned() and lease.is_settled():
             await self._coordinate()
             return
+        if lease.holds(board.clock()) and not board.is_stopping:
+            # The table has begun a new era, which the holder settles from what it knows.
+            await self._acquire_lease()
+            return
         if await self._exchange_with_coordinator():
             return
         if board.clock() < self._table_retry_at:
@@ -215,7 +224,7 @@
         """:returns: Whether the coordinator answered and its confirmations are recent."""
         board = self._board
         record = board.lease.record
-        if record is None or not record.instance:
+        if record is None or not record.instance or board.lease.is_own():
             return False
         left_s = board.lease.takeover_at() - board.clock()
         if self._has_lost_contact and left_s < PEER_TIMEOUT_S:
@@ -230,6 +239,9 @@
         try:
             await self._coordinator.run_round()
             self._table_answered_at = self._board.clock()
+        except EraChanged:
+            self._urgent.set()
+            raise
         except TableError:
             self._consider_resigning()
             raise
@@ -299,7 +311,7 @@
             # A former coordinator still grants tokens from the shares that were delegated to it.
             self._supply.receive_answer(answer.supply, began_at)
         if answer.duty is not None:
-            self._board.lease.observe(answer.duty, self._board.clock())
+            self._board.lease.observe(answer.duty, self._board.clock(), self._board.clock())
         if not answer.is_coordinator:
             return False
         # A coordinator of the same data centre with an overdue renewal may be cut off together with this instance.
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -17,7 +17,7 @@
     TargetReport,
 )
 from fescuequay_core.relay.refusals import Refused
-from fescuequay_core.types import InstanceId, OrganisationId, RequestId, ServiceId, TargetId, Term
+from fescuequay_core.types import Era, InstanceId, OrganisationId, RequestId, ServiceId, TargetId, Term
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
     CloseRequest,
@@ -32,6 +32,9 @@
 
 Item = TypeVar('Item')
 
+#: Era of a table that never came back from a copy.
+_FIRST_ERA: Final = Era(0)
+
 
 class TableError(Exception):
     """A request to the table failed; a write may or may not have been applied."""
@@ -51,7 +54,7 @@
 
     :param key: Its key.
     :param content: Its value.
-    :param version: Version of its latest change; versions grow with each change of any row.
+    :param version: Version of its latest change; within an era, versions grow with each change of any row.
     """
 
     key: str
@@ -67,12 +70,15 @@
     :param version: Version of the rows that it wrote.
     :param rows_by_key: If a condition failed, the current rows of all conditions.
     :param at_s: Time on the table's monotonic clock when it answered, in seconds.
+    :param era: Era of the table when it answered. A write of which the table says so in a later era than its
+        conditions were read in may have met other rows with the same versions.
     """
 
     is_accepted: bool
     version: int
     rows_by_key: Mapping[str, TableRow]
     at_s: float
+    era: Era = _FIRST_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,14 +87,20 @@
 
     :param rows: The rows in the order of their keys.
     :param at_s: Time on the table's monotonic clock when it answered, in seconds.
+    :param era: Era of the table when it answered.
     """
 
     rows: tuple[TableRow, ...]
     at_s: float
+    era: Era = _FIRST_ERA
 
 
 class Table(abc.ABC):
-    """The system's own table: linearizable reads and conditional writes."""
+    """The system's own table: linearizable reads and conditional writes.
+
+    The table may come back from an earlier copy of itself. Each time its era grows by one: rows that it had
+    acknowledged are gone, and versions are given out again.
+    """
 
     @abc.abstractmethod
     async def read(self) -> TableSnapshot:
@@ -119,10 +131,12 @@
 
     :param items: Entries by key; nothing for an entry that was removed.
     :param version: Version up to which it is complete; the next changes are requested from there.
+    :param era: Era of the table when it answered; changes can't be requested from a version of an earlier era.
     """
 
     items: Mapping[str, Item | None]
     version: int
+    era: Era = _FIRST_ERA
 
 
 class Feed(abc.ABC, Generic[Item]):
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import dataclasses
+import itertools
 import secrets
 from collections.abc import Iterable, Mapping
 from typing import Final, TypeVar
 
 import msgspec
 
+from fescuequay_core.relay import eras, settlement
 from fescuequay_core.relay.model import LeaderRecord, LeaseRecord, LeaseRow, MemberRecord
 from fescuequay_core.relay.permits import PERMIT_MARGIN_S, PERMIT_S
 from fescuequay_core.relay.tableclock import ReadingDates, TableClock
-from fescuequay_core.types import InstanceId, Instant, ServiceId
+from fescuequay_core.types import Era, InstanceId, Instant, LeaderState
 from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.era_table import EraTable
 from fescuequay_entry.relay.ports import CommitResult, Table, TableError, TableRow
 
 Record = TypeVar('Record', LeaseRow, LeaderRecord, MemberRecord)
@@ -23,6 +26,9 @@
 _LEADER_PREFIX: Final = 'leader/'
 _MEMBER_PREFIX: Final = 'member/'
 
+#: Maximum number of rows that one transaction carries over to a new era or removes; the table's limit is 100 entries.
+_MAX_BATCH_ROWS: Final = 90
+
 
 class DutyLost(Exception):
     """Another instance has taken the lease."""
@@ -69,9 +75,8 @@
 
     def __init__(self, board: Board, table: Table) -> None:
         self._board = board
-        self._table = table
+        self._table = EraTable(board, table)
         self._lock = asyncio.Lock()
-        self._unanswered_nonces: set[str] = set()
         self._row_versions_by_member: dict[InstanceId, int] = {}
         self._leaving_since: dict[InstanceId, tuple[int, Instant]] = {}
         # Version of the lease row as of which every leader record is known here.
@@ -82,20 +87,28 @@
         self.previous_lease_until: Instant = float('inf')
         # Start of the earliest write with an unknown outcome that changes more than the lease row.
         self._unresolved_write_at: Instant = float('inf')
+        self._leaders_left: tuple[LeaderRecord, ...] = ()
+        self._leftover_keys: tuple[str, ...] = ()
+        self._clock_era = board.lease.era
 
     async def read(self) -> None:
         """Read all rows and update the blackboard. :raises TableError: The table did not answer."""
         board = self._board
         began_at = board.clock()
         reading = await self._table.read()
-        self._clock.record_answer(reading.at_s, began_at)
+        self._record_clock(reading.at_s, began_at)
         rows = _Rows.decode(reading.rows)
+        self._leaders_left = tuple(_Rows.decode(reading.earlier_rows).leaders)
+        self._leftover_keys = reading.leftover_keys
+        if rows.lease is None and board.lease.holds(board.clock()):
+            # The holder of the earlier era knows more than the table, and settles the new one from that.
+            return
         dates = ReadingDates(rows.lease, reading.at_s, board.clock())
         for instance, version in rows.versions_by_member.items():
             self._row_versions_by_member[instance] = version
             board.confirmations.record_row(instance, version, dates.written_by(version))
         members = rows.members_by_id
-        lease_version = rows.lease.version if rows.lease else 0
+        lease_version = rows.lease.version if rows.lease else eras.stamp_of(board.lease.era or Era(0), 0)
         if lease_version >= self._complete_lease_version:
             # A read that was overtaken by a newer read or a write would list instances marked as leaving since then.
             self._complete_lease_version = lease_version
@@ -105,7 +118,10 @@
         # stop asking it.
         for leader in rows.leaders:
             board.update_record(leader, self._registered_at, 'table', dates.written_by(leader.version))
-        board.lease.observe(rows.lease.record() if rows.lease else None, dates.begun_by())
+        board.lease.observe(rows.lease.record() if rows.lease else None, dates.begun_by(), board.clock())
+        if rows.lease is not None:
+            self._clock.record_settlement(rows.lease.settled_by_s)
+            board.lease.date_settlement(dates.settled_by())
         self.replace_members(members.values())
 
     def replace_members(self, members: Iterable[MemberRecord]) -> None:
@@ -131,38 +147,102 @@
         :raises TableError: The row may still exist.
         """
         own = self._board.own.instance
-        if own in self._row_versions_by_member:
+        if own not in self._row_versions_by_member:
+            return
+        if not self._board.lease.is_present(self._row_versions_by_member[own]):
+            await self.read()
+        if self._board.lease.is_present(self._row_versions_by_member[own]):
             await self._table.commit(self._row_conditions([own]), {}, [_MEMBER_PREFIX + own])
 
     async def acquire_lease(self) -> bool:
-        """Acquire the coordinator lease.
+        """Acquire the coordinator lease; in an era that has none yet, carry over what is known of the earlier ones.
 
         :returns: Whether this instance holds the lease now.
         :raises TableError: The outcome is unknown; the lease may have been acquired.
         """
-        own = self._board.own
-        known = self._board.lease.record
+        lease = self._board.lease
+        known = lease.record if lease.is_settled() else None
         began_at = self._board.clock()
-        expires_at = self._board.lease.expires_at()
+        # Dates an earlier holder's confirmations; one of an earlier era may have renewed its lease without being seen.
+        expires_at = lease.expires_at() if known else float('inf')
+        if not known:
+            self._clock.record_settlement(self._clock.at_s(began_at))
+            # Until the outcome is known, nothing is confirmed beyond the settlement either.
+            self._unresolved_write_at = min(self._unresolved_write_at, began_at)
         record = self._clock.date(
             LeaseRecord(
-                own.instance, own.incarnation, own.peer_address, self._board.lease.next_token(), secrets.token_hex(4)
+                lease.instance,
+                lease.incarnation,
+                self._board.own.peer_address,
+                lease.next_token(),
+                secrets.token_hex(4),
             ),
             began_at,
         )
-        versions = {_LEASE_KEY: known.version if known else 0}
-        taken = await self._table.commit(versions, {_LEASE_KEY: msgspec.json.encode(record)})
+        rows = {} if known else self._rows_to_carry_over(began_at)
+        first, later = _split_rows(rows)
+        taken = await self._table.commit(
+            {_LEASE_KEY: known.version if known else 0}, {**first, _LEASE_KEY: msgspec.json.encode(record)}
+        )
         if not taken.is_accepted:
             row = taken.rows_by_key.get(_LEASE_KEY)
-            self._board.lease.observe(_lease_of(row), self._board.clock())
+            lease.observe(_lease_of(row), self._board.clock(), self._board.clock())
             return False
-        self._unanswered_nonces.clear()
         self._unresolved_write_at = float('inf')
         self.previous_lease_until = expires_at
-        self._board.lease.record_renewal(_with_version(record, taken.version).record(), began_at)
+        lease.record_renewal(_with_version(record, taken.version).record(), began_at, self._board.clock())
         log_event('duty_taken', token=record.token, earlier=known.instance if known else '-')
+        if not known:
+            lease.date_settlement(began_at)
+            self._complete_lease_version = taken.version
+            self._board.listed = frozenset()
+            self._leaving_since = {}
+            self._adopt_carried(first, taken.version, began_at)
+            await self._carry_over(later)
         return True
 
+    def _rows_to_carry_over(self, now: Instant) -> dict[str, bytes]:
+        """:returns: Leader records and instances that are to be written in the new era, leader records first."""
+        board = self._board
+        lease = board.lease
+        is_holder = (
+            lease.holds(now) and lease.record is not None and lease.record.version == self._complete_lease_version
+        )
+        leaders = settlement.settle(
+            itertools.chain(self._leaders_left, board.permits.records()), board.permits, now, is_holder=is_holder
+        )
+        members = [member for member in board.members_by_id.values() if not member.is_leaving]
+        if leaders or self._leftover_keys:
+            log_event(
+                'era_settling',
+                era=lease.era,
+                holds=is_holder,
+                since_s=round(now - lease.era_seen_at, 3),
+                kept=','.join(record.service for record in leaders if record.state is LeaderState.LEADING) or '-',
+                in_doubt=','.join(record.service for record in leaders if record.state is LeaderState.CLOSING) or '-',
+                members=len(members),
+            )
+        return {
+            **{_LEADER_PREFIX + record.service: msgspec.json.encode(record) for record in leaders},
+            **{_MEMBER_PREFIX + member.instance: msgspec.json.encode(member) for member in members},
+        }
+
+    async def _carry_over(self, rows: Mapping[str, bytes]) -> None:
+        """Write the rows that did not fit into the transaction that settled the era."""
+        while rows:
+            first, rows = _split_rows(rows)
+            began_at = self._board.clock()
+            version = await self._write({key: 0 for key in first}, first)
+            self._adopt_carried(first, version, began_at)
+
+    def _adopt_carried(self, rows: Mapping[str, bytes], version: int, began_at: Instant) -> None:
+        """Update the view with rows that this instance has written as they are in the new era."""
+        written = _Rows.decode(TableRow(key, content, version) for key, content in rows.items())
+        for leader in written.leaders:
+            self._board.update_record(leader, began_at, 'own')
+        self._row_versions_by_member.update(written.versions_by_member)
+        self._board.listed |= {(member.instance, member.incarnation) for member in written.members_by_id.values()}
+
     async def release_lease(self) -> None:
         """Release the coordinator lease. :raises TableError: The table may still show it as held."""
         record = self._board.lease.record
@@ -207,7 +287,9 @@
         """
         began_at = self._board.clock()
         key = _LEADER_PREFIX + record.service
-        version = await self._write({key: record.version}, {key: msgspec.json.encode(record)})
+        # A record of an earlier era was not carried over, so its key must still be free.
+        expected = record.version if self._board.lease.is_present(record.version) else 0
+        version = await self._write({key: expected}, {key: msgspec.json.encode(record)})
         written = _with_version(record, version)
         self._board.update_record(written, began_at, 'own')
         return written
@@ -243,6 +325,24 @@
         gone = list(instances)
         await self._write(self._row_conditions(gone), {}, [_MEMBER_PREFIX + instance for instance in gone])
 
+    async def remove_leftovers(self) -> None:
+        """Remove rows that are left of earlier eras, as many as one transaction takes.
+
+        :raises TableError: They may still exist.
+        :raises DutyLost: Another instance holds the lease.
+        """
+        keys = self._leftover_keys[:_MAX_BATCH_ROWS]
+        if keys:
+            await self._write({}, {}, leftover_keys=keys)
+            log_event('leftovers_removed', count=len(keys), era=self._board.lease.era)
+
+    def _record_clock(self, at_s: float, asked_at: Instant) -> None:
+        """Record an answer of the table's clock, which may have started anew with an era."""
+        if self._clock_era != self._board.lease.era:
+            self._clock = TableClock()
+            self._clock_era = self._board.lease.era
+        self._clock.record_answer(at_s, asked_at)
+
     def _update_listed(self, members: Iterable[MemberRecord]) -> None:
         """Record which instances may get permits, and since when the leaving ones certainly get none."""
         versions = self._row_versions_by_member
@@ -262,7 +362,11 @@
         return {_MEMBER_PREFIX + instance: self._row_versions_by_member[instance] for instance in instances}
 
     async def _write(
-        self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: tuple[str, ...] | list[str] = ()
+        self,
+        versions: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        deletes: tuple[str, ...] | list[str] = (),
+        leftover_keys: tuple[str, ...] = (),
     ) -> int:
         """Write rows on condition that this instance holds the lease, and renew it in the same transaction.
 
@@ -284,20 +388,23 @@
             record = self._clock.date(
                 LeaseRecord(held.instance, held.incarnation, held.address, held.token, secrets.token_hex(4)), began_at
             )
-            self._unanswered_nonces.add(record.nonce)
             if puts or deletes:
                 self._unresolved_write_at = min(self._unresolved_write_at, began_at)
             written = await self._table.commit(
-                {**versions, _LEASE_KEY: held.version}, {**puts, _LEASE_KEY: msgspec.json.encode(record)}, list(deletes)
+                {**versions, _LEASE_KEY: held.version},
+                {**puts, _LEASE_KEY: msgspec.json.encode(record)},
+                list(deletes),
+                leftover_keys,
             )
             if written.is_accepted:
-                self._unanswered_nonces.clear()
-                self._clock.record_answer(written.at_s, began_at)
+                self._record_clock(written.at_s, began_at)
                 self._clock.record_write(written.version, written.at_s)
                 # No earlier write can take effect any more, since its condition on the lease row fails.
                 self._unresolved_write_at = float('inf')
                 self._complete_lease_version = written.version
-                self._board.lease.record_renewal(_with_version(record, written.version).record(), began_at)
+                self._board.lease.record_renewal(
+                    _with_version(record, written.version).record(), began_at, self._board.clock()
+                )
                 return written.version
             await self._resolve(written)
             raise TableError('write rejected: a row has another version than expected')
@@ -316,14 +423,15 @@
                 log_event('own_write_found', nonce=present.nonce, version=present.version)
             await self.read()
             return
-        self._board.lease.observe(present, self._board.clock())
+        self._board.lease.observe(present, self._board.clock(), self._board.clock())
         log_event('duty_lost', holder=present.instance if present else '-', token=present.token if present else 0)
         raise DutyLost
 
 
-def leader_key(service: ServiceId) -> str:
-    """:returns: Key of a service's leader record."""
-    return _LEADER_PREFIX + service
+def _split_rows(rows: Mapping[str, bytes]) -> tuple[dict[str, bytes], dict[str, bytes]]:
+    """:returns: As many rows as one transaction takes, and the others."""
+    items = tuple(rows.items())
+    return dict(items[:_MAX_BATCH_ROWS]), dict(items[_MAX_BATCH_ROWS:])
 
 
 def _decode(row: TableRow, kind: type[Record]) -> Record | None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import Final
 
-from fescuequay_core.relay import candidates
+from fescuequay_core.relay import candidates, settlement
 from fescuequay_core.relay.model import (
     LeaderRecord,
     LogPosition,
@@ -74,6 +74,8 @@
         """
         began_at = self._board.clock()
         closing = await self._close(record, cause)
+        if closing.cause == settlement.ERA_CAUSE and await self._keep_primary(closing):
+            return
         # An earlier coordinator may have closed the term; no permit of it was granted after that became known.
         closed_at = min(self._board.clock(), self._board.permits.written_by(closing))
         log_event(
@@ -108,10 +110,38 @@
         )
 
     async def _close(self, record: LeaderRecord, cause: str) -> LeaderRecord:
-        if record.state is LeaderState.CLOSING:
+        if record.state is LeaderState.CLOSING and self._board.lease.is_present(record.version):
             return record
         return await self._write(dataclasses.replace(record, state=LeaderState.CLOSING, cause=cause))
 
+    async def _keep_primary(self, closing: LeaderRecord) -> bool:
+        """Publish a record in doubt again if its targets show that the primary was never replaced.
+
+        :returns: Whether the primary leads on.
+        """
+        ready_at = self._board.lease.settled_at + settlement.PROMOTION_EFFECT_S
+        await asyncio.sleep(max(ready_at - self._board.clock(), 0))
+        until = self._board.clock() + _REPORTS_TIMEOUT_S
+        reports: dict[TargetId, TargetReport] = {}
+        while self._board.clock() < until:
+            targets = list(self._board.targets_of(closing.service))
+            answers = await self._ask_candidates(targets, closing, must_hold=False)
+            reports = {name: report for name, (_, report) in answers.items()}
+            if settlement.is_still_leading(closing, [target.target for target in targets], reports):
+                log_event('primary_kept', service=closing.service, target=closing.target, term=closing.term)
+                await self._publish(closing, (closing.target, reports[closing.target]), closing.cause)
+                return True
+            await self._check_still_coordinator(closing)
+            await asyncio.sleep(_RETRY_PAUSE_S)
+        log_event(
+            'primary_in_doubt',
+            service=closing.service,
+            target=closing.target,
+            term=closing.term,
+            reports=','.join(f'{name}:{report.role.value}:{report.term}' for name, report in reports.items()) or '-',
+        )
+        return False
+
     async def _write(self, record: LeaderRecord) -> LeaderRecord:
         """Write a record, retrying until the table accepts it.
 
@@ -137,7 +167,7 @@
             await self._records.read()
         except TableError as error:
             log_event('members_unread', detail=str(error))
-            await asyncio.sleep(max(deadline - self._board.clock(), 0))
+            await self._sleep_until(max(deadline, self._earlier_era_deadline()))
             return
         ended = self._records.members_without_permits()
         members = [
@@ -153,6 +183,7 @@
                 for member in members
             )
         )
+        await self._sleep_until(self._earlier_era_deadline())
         silent = [member.instance for member, is_revoked in zip(members, results, strict=True) if not is_revoked]
         log_event(
             'permits_collected',
@@ -163,6 +194,13 @@
             took_s=round(self._board.clock() - closed_at, 3),
         )
 
+    def _earlier_era_deadline(self) -> Instant:
+        """:returns: When permits of an earlier era have expired; the present list may lack instances that hold one."""
+        return self._board.lease.settled_at + PERMIT_S + PERMIT_MARGIN_S
+
+    async def _sleep_until(self, deadline: Instant) -> None:
+        await asyncio.sleep(max(deadline - self._board.clock(), 0))
+
     def _permit_end(self, member: MemberRecord, closed_at: Instant) -> Instant:
         """:returns: When an instance's permit of a closed term has certainly expired."""
         return min(closed_at, self._board.confirmations.latest(member)) + PERMIT_S + PERMIT_MARGIN_S
