--- a/features/records.feature
+++ b/features/records.feature
@@ -32,3 +32,38 @@
     Then the other instance may still have a permit
     When 5 s pass and the table is read
     Then the other instance's permits have expired
+
+  Scenario: The holder of the lease settles a new era of the table from memory
+    Given another instance is listed
+    And a copy of the table
+    When it closes the record and the answer is lost
+    And it tries to renew the lease
+    And the table comes back from the copy
+    And the table rejects reads
+    And the holder sees the new era and settles it
+    Then the other instance is listed in the new era
+    When the table answers reads again
+    Then the record is closing in the new era, and the token is larger than 1
+    And its rows of the earlier era can be removed
+
+  Scenario: An instance that does not know what the last coordinator did puts its records in doubt
+    Given a copy of the table
+    When it closes the record and the answer is lost
+    And the table comes back from the copy
+    And another instance has known the new era for 1.1 s
+    Then it may not settle the era
+    When another instance has known the new era for 1.3 s
+    Then it may settle the era
+    When it settles the era
+    Then the record is closing in the new era, and the token is larger than 1
+
+  Scenario: A write that the table carries out in a new era counts for nothing
+    When the table carries out a renewal of the earlier holder in the new era
+    Then that renewal does not count
+    And a write of the earlier era is not sent, whatever its version
+
+  Scenario: An answer of an earlier era that arrives late changes nothing
+    Given a copy of the table
+    When the table comes back from the copy
+    And another instance has known the new era for 1.3 s
+    Then an answer of the earlier era is ignored
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -6,10 +6,11 @@
 from typing import Any
 from unittest import mock
 
-from fescuequay_core.relay import refusals
+from fescuequay_core.relay import eras, refusals, settlement
 from fescuequay_core.relay.buckets import AcquireResult, Buckets
-from fescuequay_core.relay.lease import CoordinatorLease
+from fescuequay_core.relay.evacuation import Evacuations
 from fescuequay_core.relay.freshness import Samples
+from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_entry.relay.pool import PooledConnection
 from fescuequay_entry.relay.replacement import Replacement
@@ -54,6 +55,10 @@
     return admit
 
 
+def _settle_as_known(original: Callable[..., Any]) -> Callable[..., Any]:
+    return lambda known, permits, now, is_holder: original(known, permits, now, is_holder=True)
+
+
 async def _claim_not_run(original: Callable[..., Any], *arguments: Any) -> Any:
     try:
         return await original(*arguments)
@@ -81,6 +86,16 @@
     return {
         'the collection of permits': lambda: patch(Replacement, '_collect_permits', _collect_nothing),
         'the increase of the lease token': lambda: patch(CoordinatorLease, 'next_token', lambda _: 1),
+        'the doubt about records of an earlier era': lambda: patch(
+            settlement, 'settle', _settle_as_known(settlement.settle)
+        ),
+        'the wait before a new era is settled': lambda: patch(CoordinatorLease, 'settles_at', lambda _: float('-inf')),
+        'the order of tokens across eras': lambda: patch(eras, 'next_token', lambda known, _: known + 1),
+        'the wait for permits of an earlier era': lambda: patch(
+            Replacement, '_earlier_era_deadline', lambda _: float('-inf')
+        ),
+        'the evacuation': lambda: patch(Evacuations, 'replace', lambda *_: ()),
+        'the end of work at an evacuated primary': lambda: patch(Evacuations, 'is_closed', lambda *_: False),
         'the check of the permit at the answer': lambda: patch(StatementRunner, 'has_valid_permit', lambda *_: True),
         'the position required by age': lambda: patch(Samples, 'required_position', _required_without_age),
         "the session's own position": lambda: patch(
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -106,6 +106,7 @@
             'rejecting store': self._disturb_store,
             'slow store': self._disturb_store,
             'lost answers of the store': self._disturb_store,
+            'store restored': self._restore_store,
             'primary crashes': self._crash_primary,
             'primary stops responding': self._silence_primary,
             'lost answers of databases': self._lose_database_answers,
@@ -171,6 +172,17 @@
         platform.is_rejecting, platform.delay_s, platform.answer_loss_probability = False, 0.0, 0.0
         self._record_fault()
 
+    async def _restore_store(self, _: str, for_s: float) -> None:
+        """Let the store be away for a moment and come back from a copy."""
+        platform = self._platform
+        copy = platform.copy()
+        await asyncio.sleep(for_s / 2)
+        platform.is_rejecting = True
+        await asyncio.sleep(for_s / 2)
+        platform.restore(copy)
+        platform.is_rejecting = False
+        self._record_fault()
+
     async def _crash_primary(self, _: str, for_s: float) -> None:
         database = self._rng.choice(self._services).current_primary
         database.crash()
--- a/features/soak/platform.py
+++ b/features/soak/platform.py
@@ -27,6 +27,7 @@
         self.is_rejecting = False
         self.answer_loss_probability = 0.0
         self.delay_s = 0.0
+        self.era = 1
         self._rows: dict[tuple[str, str], tuple[str, int, bool]] = {}
         self._version = 0
         self._changed = asyncio.Event()
@@ -47,6 +48,19 @@
         self.port = runner.addresses[0][1]
         self._report()
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], tuple[str, int, bool]]]:
+        """:returns: A copy of the store, for ``restore``."""
+        return self._version, dict(self._rows)
+
+    def restore(self, copy: tuple[int, dict[tuple[str, str], tuple[str, int, bool]]]) -> None:
+        """Come back from a copy: later rows are gone, but those of operators and databases are written again."""
+        others = {name: row for name, row in self._rows.items() if name[0] in {'op', 'servers'}}
+        self.era += 1
+        self._version, self._rows = copy[0], dict(copy[1])
+        for (table, key), (value, _, is_deleted) in others.items():
+            self._version += 1
+            self._store_row(table, key, value, is_deleted=is_deleted)
+
     def put(self, table: str, key: str, plain: Any) -> None:
         """Write a row as an operator or a database does."""
         self._version += 1
@@ -81,7 +95,8 @@
         return {**row, 'deleted': True} if is_deleted else row
 
     def _make_response(self, rows: list[dict[str, Any]], status: int = 200) -> web.Response:
-        return web.json_response({'rows': rows, 'ver': self._version, 'now_ms': 1, 'more_pages': False}, status=status)
+        plain = {'rows': rows, 'ver': self._version, 'now_ms': 1, 'more_pages': False}
+        return web.json_response(plain, status=status, headers={'Store-Era': str(self.era)})
 
     async def _apply_faults(self) -> None:
         await asyncio.sleep(self.delay_s)
@@ -97,6 +112,8 @@
     async def _feed(self, request: web.Request) -> web.Response:
         await self._apply_faults()
         table, after = request.query['table'], int(request.query['after'])
+        if after > self._version:
+            raise web.HTTPGone
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query['wait_ms']) / 1000):
                 while not self._changed_since(table, after):
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from fescuequay_core.relay.model import LeaseRecord, LeaderRecord, MemberRecord
-from fescuequay_core.types import InstanceId, LeaderState, ServiceId, TargetId, Term
+from fescuequay_core.types import Era, InstanceId, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, InstanceIdentity
 from fescuequay_entry.relay.ports import CommitResult, Table, TableError, TableRow, TableSnapshot
 from fescuequay_entry.relay.records import Records
@@ -26,6 +26,14 @@
         self.loses_next_answer = False
         self.rejects_reads = False
         self.read_gate: asyncio.Event | None = None
+        self.era = Era(0)
+        self.era_after_write: Era | None = None
+
+    def come_back(self, version: int, rows: dict[str, TableRow]) -> None:
+        """Begin a new era with the rows of a copy."""
+        self.era = Era(self.era + 1)
+        self.version = version
+        self.rows = dict(rows)
 
     async def read(self) -> TableSnapshot:
         if self.rejects_reads:
@@ -33,14 +41,14 @@
         rows = tuple(self.rows.values())
         if self.read_gate is not None:
             await self.read_gate.wait()
-        return TableSnapshot(rows, 0.0)
+        return TableSnapshot(rows, 0.0, self.era)
 
     async def commit(
         self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str] = ()
     ) -> CommitResult:
         present = {key: self.rows[key] for key in versions if key in self.rows}
         if any((present[key].version if key in present else 0) != version for key, version in versions.items()):
-            return CommitResult(is_accepted=False, version=self.version, rows_by_key=present, at_s=0.0)
+            return CommitResult(is_accepted=False, version=self.version, rows_by_key=present, at_s=0.0, era=self.era)
         self.version += 1
         self.rows.update({key: TableRow(key, content, self.version) for key, content in puts.items()})
         for key in deletes:
@@ -48,7 +56,9 @@
         if self.loses_next_answer:
             self.loses_next_answer = False
             raise TableError('no answer')
-        return CommitResult(is_accepted=True, version=self.version, rows_by_key={}, at_s=0.0)
+        if self.era_after_write is not None:
+            self.era, self.era_after_write = self.era_after_write, None
+        return CommitResult(is_accepted=True, version=self.version, rows_by_key={}, at_s=0.0, era=self.era)
 
 
 def _run(step: Any) -> Any:
@@ -127,6 +137,11 @@
     context.scripted.rejects_reads = True
 
 
+@when('the table answers reads again')
+def step_answer_reads(context: Any) -> None:
+    context.scripted.rejects_reads = False
+
+
 @when('it tries to renew the lease')
 def step_try_renew(context: Any) -> None:
     context.now += 1.0
@@ -199,3 +214,98 @@
 @then("the other instance's permits have expired")
 def step_expired(context: Any) -> None:
     assert OTHER.instance in context.holder.members_without_permits()
+
+
+@given('a copy of the table')
+def step_copy(context: Any) -> None:
+    context.copy = (context.scripted.version, dict(context.scripted.rows))
+
+
+@when('the table comes back from the copy')
+def step_come_back(context: Any) -> None:
+    context.scripted.come_back(*context.copy)
+
+
+@when('the holder sees the new era and settles it')
+def step_settle(context: Any) -> None:
+    step_try_renew(context)
+    context.now -= 1.0
+    assert _run(context.holder.acquire_lease()), 'the era was not settled'
+
+
+@when('another instance has known the new era for {seconds:g} s')
+def step_other_sees(context: Any, seconds: float) -> None:
+    context.other_board = Board(InstanceIdentity(InstanceId('c'), 'c1', 'south', 'c:1'), lambda: context.now)
+    context.other = Records(context.other_board, context.scripted)
+    _run(context.other.read())
+    context.now += seconds
+
+
+@then('it {may} settle the era')
+def step_may_settle(context: Any, may: str) -> None:
+    assert context.other_board.lease.may_take_over(context.now) is (may == 'may')
+
+
+@when('it settles the era')
+def step_other_settles(context: Any) -> None:
+    assert _run(context.other.acquire_lease()), 'the era was not settled'
+
+
+@then('the record is {state} in the new era, and the token is larger than {token:d}')
+def step_settled(context: Any, state: str, token: int) -> None:
+    reader_board = Board(InstanceIdentity(InstanceId('d'), 'd1', 'east', 'd:1'), lambda: context.now)
+    _run(Records(reader_board, context.scripted).read())
+    assert reader_board.permits.record(SERVICE).state.value == state
+    assert reader_board.lease.token > token, reader_board.lease.token
+
+
+@then('the other instance is listed in the new era')
+def step_listed_again(context: Any) -> None:
+    assert (OTHER.instance, OTHER.incarnation) in context.holder_board.listed
+    assert f'{context.scripted.era}/member/{OTHER.instance}' in context.scripted.rows
+
+
+@when('the table carries out a renewal of the earlier holder in the new era')
+def step_late_renewal(context: Any) -> None:
+    context.scripted.era_after_write = Era(context.scripted.era + 1)
+    context.renewed_age_s = context.holder_board.lease.renewal_age_s(context.now)
+    try:
+        _run(context.holder.renew())
+    except TableError as error:
+        context.error = error
+        return
+    raise AssertionError('the renewal was counted')
+
+
+@then('that renewal does not count')
+def step_not_counted(context: Any) -> None:
+    assert context.holder_board.lease.renewal_age_s(context.now) == context.renewed_age_s
+    assert not context.holder_board.lease.is_settled()
+
+
+@then('a write of the earlier era is not sent, whatever its version')
+def step_not_sent(context: Any) -> None:
+    version = context.scripted.version
+    try:
+        _run(context.holder.write_leader(_leading()))
+    except TableError:
+        assert context.scripted.version == version, 'the table got the write'
+        return
+    raise AssertionError('the write was accepted')
+
+
+@then('an answer of the earlier era is ignored')
+def step_late_answer(context: Any) -> None:
+    context.scripted.era = Era(context.scripted.era - 1)
+    try:
+        _run(context.other.read())
+    except TableError:
+        return
+    raise AssertionError('the answer was taken')
+
+
+@then('its rows of the earlier era can be removed')
+def step_leftovers(context: Any) -> None:
+    _run(context.holder.read())
+    _run(context.holder.remove_leftovers())
+    assert all(key.startswith(f'{context.scripted.era}/') for key in context.scripted.rows), context.scripted.rows
--- a/packages/fescuequay-core/fescuequay_core/relay/candidates.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/candidates.py
@@ -12,14 +12,16 @@
 
     :param target: Its registry entry.
     :param report: Its latest status.
+    :param is_leaving: Whether it is draining, or its data centre is evacuated.
     """
 
     target: TargetDescription
     report: TargetReport
+    is_leaving: bool
 
 
 def choose(candidates: Iterable[PromotionCandidate], *, can_catch_up: bool) -> PromotionCandidate | None:
-    """Choose the most advanced candidate; while it can still catch up, one that is not draining is preferred.
+    """Choose the most advanced candidate; while it can still catch up, one that is not leaving is preferred.
 
     :param candidates: Targets that answered.
     :param can_catch_up: Whether the old primary answers, so that every replica will receive its whole log.
@@ -27,7 +29,7 @@
     """
 
     def preference(candidate: PromotionCandidate) -> tuple[bool, LogPosition, bool, float, str]:
-        is_staying = not candidate.target.is_draining
+        is_staying = not candidate.is_leaving
         return (
             can_catch_up and is_staying,
             candidate.report.position,
--- a/packages/fescuequay-core/fescuequay_core/relay/eras.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/eras.py
@@ -1,7 +1,7 @@
 """Order of row versions and fencing tokens across the eras of the table.
 
 A table that comes back from an earlier copy of itself begins a new era: it has lost rows that it had acknowledged and
-gives out versions again. A stamp is a version together with its era, so that stamps grow for as long as the table lives.
+gives out versions again. A stamp is a version together with its era, so stamps grow for as long as the table lives.
 """
 
 from typing import Final
@@ -9,10 +9,10 @@
 from fescuequay_core.types import Era
 
 #: More transactions than a table carries out in one era: 400 a second for 79 years.
-_VERSIONS_PER_ERA: Final = 10**12
+_VERSIONS_PER_ERA: Final = 1_000_000_000_000
 
 #: More changes of coordinator than happen in one era: one a second for 11 days.
-_TOKENS_PER_ERA: Final = 10**6
+_TOKENS_PER_ERA: Final = 1_000_000
 
 
 def stamp_of(era: Era, version: int) -> int:
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -149,6 +149,16 @@
     organisation_ids_by_credential: dict[str, OrganisationId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """The operators' request to send nothing more to the targets of a data centre.
+
+    :param data_centre: The data centre.
+    """
+
+    data_centre: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetDescription:
     """A target's own latest entry in the registry.
--- a/packages/fescuequay-core/fescuequay_core/relay/refusals.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/refusals.py
@@ -61,6 +61,9 @@
 QUEUE_FULL: Final = _not_run('queue_full', RefusalKind.OVERLOADED, 'the statement could not be run in time')
 NO_PRIMARY: Final = _not_run('no_primary', RefusalKind.OVERLOADED, 'the service has no confirmed primary now')
 NO_TARGET: Final = _not_run('no_target', RefusalKind.OVERLOADED, 'no target can serve the read now')
+EVACUATED: Final = _not_run(
+    'evacuated', RefusalKind.OVERLOADED, 'only a target in an evacuated data centre could run the statement'
+)
 STOPPING: Final = _not_run('stopping', RefusalKind.OVERLOADED, 'the instance is stopping')
 NOT_LEADING: Final = _not_run('not_leading', RefusalKind.NOT_LEADING, 'the target no longer leads; nothing was kept')
 BEHIND: Final = _not_run('behind', RefusalKind.BEHIND, 'no replica has the data that the read requires')
@@ -73,6 +76,9 @@
     'transaction_lost', RefusalKind.ABORTED, 'the connection of the transaction was lost before its commit was sent'
 )
 TRANSACTION_IDLE: Final = _not_run('transaction_idle', RefusalKind.ABORTED, 'the transaction was idle for too long')
+TRANSACTION_EVACUATED: Final = _not_run(
+    'transaction_evacuated', RefusalKind.ABORTED, 'the target of the transaction is in an evacuated data centre'
+)
 COMMIT_OF_FAILED: Final = _not_run('commit_of_failed', RefusalKind.ABORTED, 'the transaction had failed')
 LOST: Final = Reason(
     'lost', RefusalKind.UNKNOWN_OUTCOME, Verdict.MAY_HAVE_RUN, 'the connection was lost before the answer came'
--- a/packages/fescuequay-emulator/fescuequay_emulator/checker.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/checker.py
@@ -22,6 +22,9 @@
 #: Time that an instance may need to restore contact after a cut, in seconds, as promised to the sites.
 _RECONNECT_S: Final = 4.0
 
+#: Time within which an evacuated data centre must get no more work, in seconds.
+_MAX_EVACUATION_S: Final = 5.0
+
 _KINDS_SENT_TO_TARGETS: Final = frozenset(
     (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT)
 )
@@ -75,6 +78,20 @@
     target: TargetId
 
 
+@dataclasses.dataclass(slots=True)
+class ObservedEvacuation:
+    """An evacuation that the operator requested.
+
+    :param data_centre: The data centre.
+    :param at: When the table acknowledged it.
+    :param lifted_at: When the operator lifted it.
+    """
+
+    data_centre: str
+    at: float
+    lifted_at: float = float('inf')
+
+
 class Checker:
     """Records observations; ``violations`` checks them at the end of a run."""
 
@@ -84,6 +101,10 @@
         self.changes: list[PrimaryChange] = []
         self.promotion_requests: list[PromotionRequest] = []
         self.configurations: list[tuple[float, Configuration]] = []
+        self.evacuations: list[ObservedEvacuation] = []
+        self.data_centres_by_target: dict[TargetId, str] = {}
+        #: Starts and resumptions of instances.
+        self.disturbed: list[tuple[str, float]] = []
         self.cut_off: list[tuple[str, float, float]] = []
 
     def violations(self, logs_by_service: dict[ServiceId, tuple[Commit, ...]]) -> tuple[Violation, ...]:
@@ -102,6 +123,7 @@
             self._check_quotas(),
             self._check_withdrawn_keys(sent_by_request),
             self._check_promotion_tokens(),
+            self._check_evacuations(),
         )
         return tuple(violation for check in checks for violation in check)
 
@@ -253,6 +275,21 @@
                         'refused', 0.0, f'{request} took effect although its refusal guaranteed that it had not'
                     )
 
+    def _check_evacuations(self) -> Iterator[Violation]:
+        """No statement reaches a target of an evacuated data centre after the bound, except from a cut-off instance."""
+        for evacuation in self.evacuations:
+            for execution in self.executions:
+                is_inside = self.data_centres_by_target.get(execution.target) == evacuation.data_centre
+                is_evacuated = evacuation.at + _MAX_EVACUATION_S < execution.at < evacuation.lifted_at
+                if is_inside and is_evacuated and self._was_in_touch(execution):
+                    yield Violation(
+                        'evac',
+                        execution.at,
+                        f'{execution.instance} sent {execution.request} to {execution.target}; '
+                        f'{evacuation.data_centre} is evacuated since {evacuation.at:.3f}',
+                    )
+                    break
+
     def _check_promotion_tokens(self) -> Iterator[Violation]:
         """A token belongs to one holder, and no request has a lower token than an earlier one."""
         holders_by_token: dict[int, InstanceId] = {}
@@ -319,6 +356,13 @@
             for name, start, end in self.cut_off
         )
 
+    def _was_in_touch(self, execution: Execution) -> bool:
+        """:returns: Whether the instance had a path to the table, and had run for long enough to be bound by times."""
+        has_started = any(
+            name == execution.instance and at <= execution.at <= at + _RECONNECT_S for name, at in self.disturbed
+        )
+        return not has_started and not self._is_cut_off(execution)
+
     def _possible_configurations(self, at: float) -> list[tuple[float, Configuration]]:
         """:returns: The configurations that may be in force: the last one past its deadline, and all newer ones."""
         older = [entry for entry in self.configurations if entry[0] + _MAX_APPLY_S <= at]
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -134,7 +134,11 @@
 @main.command()
 @click.option('--days', default=20, help='Number of random schedules, one per seed.')
 @click.option('--first', default=1, help='First seed.')
-@click.option('--drills', is_flag=True, help='Let the table come back from a copy in each schedule, too.')
+@click.option(
+    '--drills',
+    is_flag=True,
+    help='In each schedule the table also comes back from a copy, and a data centre is evacuated.',
+)
 def hunt(days: int, first: int, *, drills: bool) -> None:
     """Run random schedules of faults; shrink and print those that violate a guarantee."""
     failing_count = 0
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -11,7 +11,15 @@
 
 import msgspec
 
-from fescuequay_emulator.scenarios import DRILL_KIND, FAULT_KINDS, Fault, Figures, Scenario, run_scenario
+from fescuequay_emulator.scenarios import (
+    DRILL_KIND,
+    EVACUATION_KIND,
+    FAULT_KINDS,
+    Fault,
+    Figures,
+    Scenario,
+    run_scenario,
+)
 from fescuequay_emulator.world import Plan
 
 #: Number of resamples of the bootstrap, and the confidence level of its interval.
@@ -130,7 +138,8 @@
 
     :param seeds: Seeds of the schedules.
     :param on_scenario: Called after each run with its seed and figures.
-    :param with_drills: Whether the table also comes back from a copy, once or twice in each schedule.
+    :param with_drills: Whether each schedule also has drills: the table comes back from a copy, a data centre is
+        evacuated.
     :returns: The failing schedules.
     """
     for seed in seeds:
@@ -163,7 +172,7 @@
 
     :param scenario: The scenario.
     :param seed: Seed of the drills.
-    :returns: The scenario with one or two drills.
+    :returns: The scenario with one or two returns of the table from a copy, and an evacuation.
     """
     rng = random.Random(f'drill {seed}')
     drills = tuple(
@@ -175,7 +184,13 @@
         )
         for _ in range(rng.randint(1, 2))
     )
-    return msgspec.structs.replace(scenario, faults=(*scenario.faults, *drills))
+    evacuation = Fault(
+        at=round(rng.uniform(0, 6), 2),
+        kind=EVACUATION_KIND,
+        for_s=round(rng.uniform(3, 14), 1),
+        on=rng.choice(('0', '1', '2', '0,1', '0,1,2')),
+    )
+    return msgspec.structs.replace(scenario, faults=(*scenario.faults, *drills, evacuation))
 
 
 def shrink(failing: FailingSchedule) -> FailingSchedule:
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -20,6 +20,9 @@
 #: Time after the end of the load for the deployment to settle, in seconds.
 _SETTLE_S: Final = 4.0
 
+#: Time for which a primary in an evacuated data centre may still be used, in seconds.
+EVACUATION_REPLACEMENT_S: Final = 2.5
+
 #: Factor by which a flood exceeds an organisation's rate, and number of its sessions.
 _FLOOD_FACTOR: Final = 7.0
 _FLOOD_SESSIONS: Final = 60
@@ -180,8 +183,10 @@
 
 async def _freeze(world: World, fault: Fault) -> None:
     """Freeze an instance while its monotonic clock runs on, as the suspension of a process does."""
-    world.loop.freeze(_instance(world, fault), fault.for_s)
+    name = _instance(world, fault)
+    world.loop.freeze(name, fault.for_s)
     await asyncio.sleep(fault.for_s)
+    world.checker.disturbed.append((name, world.loop.time()))
 
 
 async def _kill_all(world: World, fault: Fault) -> None:
@@ -258,6 +263,14 @@
     await world.store.restore_copy(fault.share, fault.for_s)
 
 
+async def _evacuate(world: World, fault: Fault) -> None:
+    """Evacuate the data centres whose numbers stand in ``on``, separated by commas, for ``for_s``."""
+    lifts = [world.evacuate(DATA_CENTRES[int(number)]) for number in fault.on.split(',')]
+    await asyncio.sleep(fault.for_s)
+    for lift in lifts:
+        lift()
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -328,6 +341,8 @@
 #: Kinds of faults, from which random schedules are drawn.
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
 
-#: Kind of the drill in which the table comes back from a copy; schedules get it in addition, so that seeds keep theirs.
+#: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, and
+#: operators evacuate a data centre.
 DRILL_KIND: Final = 'restore'
-_ACTIONS_BY_KIND[DRILL_KIND] = _restore
+EVACUATION_KIND: Final = 'evacuate'
+_ACTIONS_BY_KIND.update({DRILL_KIND: _restore, EVACUATION_KIND: _evacuate})
--- a/packages/fescuequay-emulator/fescuequay_emulator/table.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/table.py
@@ -96,13 +96,13 @@
         :param away_s: Time for which it does not answer, in seconds.
         """
         began_at = asyncio.get_running_loop().time()
-        copies = [copy for copy in self._copies if copy[0] <= began_at - age_s] or self._copies[:1]
+        older = [copy for copy in self._copies if copy[0] <= began_at - age_s] or self._copies[:1]
+        _, version, rows = older[-1]
         was_silent = self.faults.is_silent
         self.faults.is_silent = True
         await asyncio.sleep(away_s)
-        _, self.version, rows = copies[-1]
-        self.rows = dict(rows)
-        self._copies = []
+        self.version, self.rows = version, dict(rows)
+        self._copies = older
         self.era = Era(self.era + 1)
         self.era_began_at = asyncio.get_running_loop().time()
         self.oldest_retained_version = self.version + 1
--- a/packages/fescuequay-emulator/fescuequay_emulator/targets.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/targets.py
@@ -151,9 +151,16 @@
             self.become_replica()
 
     def become_replica(self) -> None:
-        """Become a replica; copy the log of the running primary with the highest term."""
+        """Become a replica; copy the log of the newest primary that it reaches, unless it has followed a later one."""
         self.role = Role.REPLICA
-        primaries = [other for other in self.other_targets if other.role is Role.PRIMARY and other.is_alive]
+        primaries = [
+            other
+            for other in self.other_targets
+            if other.role is Role.PRIMARY
+            and other.is_alive
+            and other.term >= self.term
+            and not self.network.is_cut(self.name, other.name)
+        ]
         if primaries:
             newest = max(primaries, key=lambda other: other.term)
             self.term = newest.term
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -14,6 +14,7 @@
     Consistency,
     Credential,
     DatabaseName,
+    Evacuation,
     OrganisationPolicy,
     Route,
     ServicePolicy,
@@ -22,7 +23,14 @@
 from fescuequay_core.relay.permits import PERMIT_S
 from fescuequay_core.types import OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import ModelListener
-from fescuequay_emulator.checker import LIMIT_OVERAGE, LIMIT_SLACK, Checker, PrimaryChange, Violation
+from fescuequay_emulator.checker import (
+    LIMIT_OVERAGE,
+    LIMIT_SLACK,
+    Checker,
+    ObservedEvacuation,
+    PrimaryChange,
+    Violation,
+)
 from fescuequay_emulator.connections import ModelDriver
 from fescuequay_emulator.network import CutMode, Network
 from fescuequay_emulator.peers import ModelPeers, ModelPromoter
@@ -30,6 +38,7 @@
 from fescuequay_emulator.targets import Commit, ModelTarget
 from fescuequay_emulator.virtual_loop import VirtualLoop, current_process
 from fescuequay_entry.relay.instance import Adapters, Instance
+from fescuequay_entry.relay.ports import OperatorEntry
 from fescuequay_entry.relay.settings import RelaySettings
 
 DATA_CENTRES: Final = ('north', 'south', 'east', 'west')
@@ -40,8 +49,8 @@
 #: Time for which targets count the connections of an instance that lost power, in seconds.
 _DEAD_CONNECTION_S: Final = 3.0
 
-#: Time after the begin of an era of the table for which permits of the earlier era may be valid, in seconds: the rest of
-#: the last holder's lease, or until another one settles the era, and a permit.
+#: Time after the begin of an era of the table for which permits of the earlier era may be valid, in seconds: the rest
+#: of the last holder's lease, or until another one settles the era, and a permit.
 _EARLIER_ERA_PERMIT_S: Final = SETTLE_AFTER_S + PERMIT_S
 
 #: Time from the settlement of the first era until every service has a primary, in seconds.
@@ -100,7 +109,7 @@
         self.network = Network(self.rng)
         self.network.add(TABLE_NODE, DATA_CENTRES[-1])
         self.store = Store(self.network, self.rng)
-        self.configurations: FeedEntries[Configuration] = FeedEntries(self.store)
+        self.operator_entries: FeedEntries[OperatorEntry] = FeedEntries(self.store)
         self.registry: FeedEntries[TargetDescription] = FeedEntries(self.store)
         self.checker = Checker()
         self.targets: dict[str, ModelTarget] = {}
@@ -179,9 +188,25 @@
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Write a configuration, as the operator does."""
-        self.configurations.put('config', configuration)
+        self.operator_entries.put('config', configuration)
         self.checker.configurations.append((self.loop.time(), configuration))
 
+    def evacuate(self, data_centre: str) -> Callable[[], None]:
+        """Evacuate a data centre, as the operator does.
+
+        :returns: A function that lifts the evacuation.
+        """
+        key = f'evacuate {data_centre}'
+        self.operator_entries.put(key, Evacuation(data_centre))
+        evacuation = ObservedEvacuation(data_centre, self.loop.time())
+        self.checker.evacuations.append(evacuation)
+
+        def lift() -> None:
+            evacuation.lifted_at = self.loop.time()
+            self.operator_entries.remove(key)
+
+        return lift
+
     def withdraw_key(self, credential: str) -> None:
         """Withdraw a key, as the operator does."""
         newest = self.checker.configurations[-1][1]
@@ -195,6 +220,7 @@
         self.network.add(name, data_centre)
         self.data_centres_by_instance[name] = data_centre
         self._incarnations += 1
+        self.checker.disturbed.append((name, self.loop.time()))
         settings = RelaySettings(
             name,
             data_centre,
@@ -213,7 +239,7 @@
             listener,
             ModelDriver(self.network, self._targets_by_address, name),
             ModelTable(self.store, name),
-            ModelFeed(self.configurations, name),
+            ModelFeed(self.operator_entries, name),
             ModelFeed(self.registry, name),
             ModelPromoter(self, name),
             ModelPeers(self, name),
@@ -320,6 +346,7 @@
         target.description = dataclasses.replace(target.description, target=name, born_ms=2)
         self.targets[name] = target
         self.network.add(name, target.description.data_centre)
+        self.checker.data_centres_by_target[name] = target.description.data_centre
         target.restart()
         self._publish_description(target, role=target.role)
 
@@ -384,6 +411,7 @@
             role = Role.PRIMARY if copy == 0 else Role.REPLICA
             description = TargetDescription(name, 1, service, f'{name}:9', data_centre, is_draining=False, role=role)
             self.network.add(name, data_centre)
+            self.checker.data_centres_by_target[name] = data_centre
             target = ModelTarget(
                 self.network,
                 self.rng,
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -9,6 +9,7 @@
 from reactivex.subject import Subject
 
 from fescuequay_core.relay.buckets import Buckets
+from fescuequay_core.relay.evacuation import Evacuations
 from fescuequay_core.relay.freshness import Samples
 from fescuequay_core.relay.health import HealthByTarget, TargetHealth
 from fescuequay_core.relay.history import History
@@ -20,6 +21,9 @@
 
 _NO_TOLERANCE: Final = Tolerance()
 
+#: Bound of an evacuation where the settings give none, in seconds.
+_EVACUATION_S: Final = 5.0
+
 #: Time after the start within which the first answers of the table are expected, in seconds. After that, callers do
 #: better at another instance.
 _STARTUP_S: Final = 0.4
@@ -52,10 +56,15 @@
     :param own: Identity of this instance.
     :param clock: Monotonic clock that also counts while the machine is suspended, in seconds.
     :param tolerance: By how much a rate limit may be exceeded.
+    :param evacuations: Data centres whose targets get no more work.
     """
 
     def __init__(
-        self, own: InstanceIdentity, clock: Callable[[], Instant], tolerance: Tolerance = _NO_TOLERANCE
+        self,
+        own: InstanceIdentity,
+        clock: Callable[[], Instant],
+        tolerance: Tolerance = _NO_TOLERANCE,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.own = own
         self.tolerance = tolerance
@@ -64,6 +73,7 @@
         self.configuration: Configuration | None = None
         self.targets_by_id: dict[TargetId, TargetDescription] = {}
         self.has_targets = False
+        self.evacuations = evacuations or Evacuations(_EVACUATION_S)
         self.feed_answered_at: dict[str, Instant] = {}
         self.relayed_until: Instant = float('-inf')
         self.members_by_id: dict[InstanceId, MemberRecord] = {}
@@ -136,7 +146,13 @@
         if record is None:
             return None
         target = self.targets_by_id.get(record.target)
-        return (record, target) if target is not None and target.service == service else None
+        if target is None or target.service != service or self.is_closed(target):
+            return None
+        return record, target
+
+    def is_closed(self, target: TargetDescription) -> bool:
+        """:returns: Whether a target gets no more work, because its data centre is evacuated."""
+        return self.evacuations.is_closed(target.data_centre, self.clock())
 
     def targets_of(self, service: ServiceId) -> Iterator[TargetDescription]:
         """:returns: The registered targets of a service."""
@@ -149,11 +165,10 @@
         for target in self.targets_of(service):
             is_leader = leader is not None and leader[0].target == target.target
             is_named = record is not None and record.target == target.target and record.state is LeaderState.LEADING
-            if target.is_draining or (is_named and not is_leader):
+            if target.is_draining:
                 continue
-            if not is_leader and target.role is Role.PRIMARY and not is_named:
-                continue
-            yield target, is_leader
+            if is_leader or not (is_named or target.role is Role.PRIMARY or self._is_evacuated(target)):
+                yield target, is_leader
 
     def is_starting(self) -> bool:
         """:returns: Whether the first configuration, targets and leader records are still expected."""
@@ -212,6 +227,9 @@
             self._waiters.pop(waiter, None)
         return True
 
+    def _is_evacuated(self, target: TargetDescription) -> bool:
+        return self.evacuations.includes(target.data_centre)
+
     def _on_change(self, subject: str) -> None:
         # Demand for tokens wakes no waiter, since waiting operations would wake each other in an endless loop.
         if subject != 'demand':
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -14,7 +14,7 @@
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
-from fescuequay_entry.relay.followers import FEED_COUNT
+from fescuequay_entry.relay.followers import FEED_COUNT, RELAYED_FEED_MAX_AGE_S
 from fescuequay_entry.relay.messages import (
     ExchangeAnswer,
     ExchangeRequest,
@@ -87,6 +87,7 @@
         self._replacements_by_service: dict[ServiceId, asyncio.Task[None]] = {}
         self._roles_ignored_until: dict[ServiceId, Instant] = {}
         self._cooldown_until: dict[ServiceId, Instant] = {}
+        self._evacuation_tried_at: dict[ServiceId, Instant] = {}
         self._no_primary_since: dict[ServiceId, Instant] = {}
         self._probed_targets: set[TargetId] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -155,11 +156,8 @@
             samples=dict(self._position_samples(now)),
             configuration_version=board.configuration.version if board.configuration else -1,
             targets=board.targets_history.since(request.targets),
-            feed_age_s=_rounded_age_s(
-                now - min(board.feed_answered_at.values())
-                if len(board.feed_answered_at) == FEED_COUNT
-                else _NEVER_READ_AGE_S
-            ),
+            evacuated_s=board.evacuations.ages_s(now) if self._has_recent_feeds(now) else None,
+            feed_age_s=_rounded_age_s(self._feed_age_s(now)),
             path_age_s=_rounded_age_s(board.lease.renewal_age_s(now)),
         )
 
@@ -223,6 +221,13 @@
         )
         return {str(name): tokens for name, tokens in granted.items()}
 
+    def _feed_age_s(self, now: Instant) -> float:
+        answered_at = self._board.feed_answered_at
+        return now - min(answered_at.values()) if len(answered_at) == FEED_COUNT else _NEVER_READ_AGE_S
+
+    def _has_recent_feeds(self, now: Instant) -> bool:
+        return self._board.evacuations.is_known and self._feed_age_s(now) < RELAYED_FEED_MAX_AGE_S
+
     def _position_samples(self, now: Instant) -> Iterator[tuple[str, PositionSample]]:
         for service in self._services():
             newest = self._board.samples.newest(service)
@@ -262,7 +267,7 @@
                 yield instance
 
     def _check_service(self, service: ServiceId) -> None:
-        """Probe a service's primary and replace it if it is dead, cut off, draining or gone."""
+        """Replace a service's primary if it has to go, or check whether it is usable."""
         task = self._replacements_by_service.get(service)
         if task is not None and not task.done():
             return
@@ -280,7 +285,14 @@
         if target is None or target.is_draining:
             if self._board.has_targets and any(True for _ in self._board.targets_of(service)):
                 self._start_replacement(record, 'draining' if target else 'gone', is_planned=True)
-            return
+        elif self._should_move_out(service, target):
+            self._evacuation_tried_at[service] = self._board.clock()
+            self._start_replacement(record, 'evacuated', is_planned=True)
+        else:
+            self._check_primary(service, record, target)
+
+    def _check_primary(self, service: ServiceId, record: LeaderRecord, target: TargetDescription) -> None:
+        """Probe a primary that is meant to stay, and replace it if it is dead or cut off."""
         if target.target not in self._probed_targets and self._needs_probe(record, target):
             self._spawn(self._probe(record, target))
         status = evaluate(
@@ -292,6 +304,19 @@
             return
         self._demote_stale_primaries(service, record)
 
+    def _should_move_out(self, service: ServiceId, primary: TargetDescription) -> bool:
+        """:returns: Whether a primary's data centre is evacuated and a target elsewhere seems able to take over."""
+        board = self._board
+        tried_at = self._evacuation_tried_at.get(service, float('-inf'))
+        if not board.evacuations.includes(primary.data_centre) or board.clock() < tried_at + _PARTITION_COOLDOWN_S:
+            return False
+        return any(
+            not target.is_draining
+            and not board.evacuations.includes(target.data_centre)
+            and board.health_of(target).failing_since is None
+            for target in board.targets_of(service)
+        )
+
     def _start_replacement(self, record: LeaderRecord, cause: str, *, is_planned: bool) -> None:
         others = [target for target in self._board.targets_of(record.service) if target.target != record.target]
         if not others and record.state is LeaderState.LEADING and self._board.lease.is_present(record.version):
--- a/packages/fescuequay-entry/fescuequay_entry/relay/era_table.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/era_table.py
@@ -32,8 +32,8 @@
 class EraTable:
     """Keeps the rows of each era under keys of their own.
 
-    A write whose conditions were read in an earlier era, or that the table carries out late, can only touch rows of that
-    earlier era, whatever versions have been given out again since.
+    A write whose conditions were read in an earlier era, or that the table carries out late, can only touch rows of
+    that earlier era, whatever versions have been given out again since.
 
     :param board: The blackboard, which knows the present era.
     :param table: The table.
--- /dev/null
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/feed_reader.py
@@ -0,0 +1,121 @@
+"""Reads one feed for as long as the coordinator does not relay it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final, Generic, TypeVar
+
+from fescuequay_core.relay.intervals import retry_interval_s
+from fescuequay_core.types import Era
+from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.ports import Batch, Feed, HistoryLost, TableError
+
+Item = TypeVar('Item')
+
+#: Maximum wait for a change in one call, in seconds. A dead connection is noticed after this and the client's own
+#: timeout of 1 s; until then, peers relay newer configurations. 4 s halve the number of calls compared with 2 s.
+LONG_POLL_S: Final = 4.0
+
+#: Interval between checks whether the coordinator still relays, in seconds.
+_RELAY_CHECK_INTERVAL_S: Final = 0.2
+
+
+class FeedReader(Generic[Item]):
+    """Reads a snapshot of a feed and then its changes.
+
+    :param board: The blackboard.
+    :param feed: The feed.
+    :param apply: Applies entries by key; is told whether they are a whole snapshot.
+    :param name: Name of the feed in logs.
+    :param on_failure: Called when entries may be missing from the next snapshot for a while: the table did not answer,
+        or it has come back from a copy.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        feed: Feed[Item],
+        apply: Callable[[dict[str, Item | None], bool], None],
+        name: str,
+        on_failure: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._feed = feed
+        self._apply = apply
+        self._name = name
+        self._on_failure = on_failure
+        self._version: int | None = None
+        self._era: Era | None = None
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Read the feed until cancelled."""
+        while True:
+            if self._version is not None and await self._wait_while_relayed():
+                # The coordinator followed the feeds in the meantime, so this instance starts again with a snapshot.
+                self._version = None
+            try:
+                await self._read()
+            except HistoryLost:
+                log_event('feed_history_lost', feed=self._name, version=self._version)
+                self._version = None
+            except TableError as error:
+                await self._handle_failure(error)
+            else:
+                self._handle_answer()
+
+    async def _read(self) -> None:
+        """Read the snapshot or the next changes, and apply them.
+
+        :raises HistoryLost: A new snapshot is needed.
+        :raises TableError: There was no answer, or one of an earlier era.
+        """
+        is_snapshot = self._version is None
+        batch = await (
+            self._feed.snapshot() if self._version is None else self._feed.changes(self._version, LONG_POLL_S)
+        )
+        if self._era is not None and batch.era < self._era:
+            raise TableError(f'answer of era {batch.era}, the present one is {self._era}')
+        if self._is_new_era(batch) and not is_snapshot:
+            raise HistoryLost
+        if batch.items or is_snapshot:
+            self._apply(dict(batch.items), is_snapshot)
+        self._version = batch.version
+
+    def _is_new_era(self, batch: Batch[Item]) -> bool:
+        """Note the era of an answer; the copy may lack entries until they are written again.
+
+        :returns: Whether it is later than the one before.
+        """
+        earlier, self._era = self._era, batch.era
+        if earlier is None or batch.era == earlier:
+            return False
+        log_event('feed_era_changed', feed=self._name, era=batch.era, earlier=earlier)
+        self._on_failure()
+        return True
+
+    async def _handle_failure(self, error: TableError) -> None:
+        """Log the first of consecutive failures, and pause."""
+        self._on_failure()
+        if not self._is_lost:
+            log_event('feed_lost', feed=self._name, detail=str(error))
+        self._is_lost = True
+        pause_s = retry_interval_s(self._board.member_count())
+        await asyncio.sleep(random.uniform(pause_s / 2, pause_s * 2))  # noqa: S311 -- spreads calls, no secret
+
+    def _handle_answer(self) -> None:
+        self._board.feed_answered_at[self._name] = self._board.clock()
+        if self._is_lost:
+            log_event('feed_regained', feed=self._name, version=self._version)
+        self._is_lost = False
+
+    async def _wait_while_relayed(self) -> bool:
+        """Wait for as long as the coordinator relays the feeds.
+
+        :returns: Whether it relayed them at all.
+        """
+        has_waited = False
+        while self._board.is_relayed() and not self._board.lease.is_own():
+            has_waited = True
+            await asyncio.sleep(_RELAY_CHECK_INTERVAL_S)
+        return has_waited
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -1,24 +1,21 @@
 """Followers of the feeds: the operators' configuration and the target registry."""
 
 import asyncio
+import dataclasses
 import random
-from collections.abc import Callable
-from typing import Final, TypeVar
+import types
+from collections.abc import Mapping
+from typing import Final
 
 from fescuequay_core.relay.distribution import parent_of
 from fescuequay_core.relay.history import Difference
-from fescuequay_core.relay.intervals import retry_interval_s
-from fescuequay_core.relay.model import Configuration, TargetDescription
-from fescuequay_core.types import Era, Instant, TargetId
+from fescuequay_core.relay.missing import MissingEntries
+from fescuequay_core.relay.model import Configuration, Evacuation, TargetDescription
+from fescuequay_core.types import Instant, TargetId
 from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.feed_reader import LONG_POLL_S, FeedReader
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
-from fescuequay_entry.relay.ports import Feed, HistoryLost, PeerError, Peers, TableError
-
-Item = TypeVar('Item')
-
-#: Maximum wait for a change in one call, in seconds. A dead connection is noticed after this and the client's own
-#: timeout of 1 s; until then, peers relay newer configurations. 4 s halve the number of calls compared with 2 s.
-LONG_POLL_S: Final = 4.0
+from fescuequay_entry.relay.ports import Feed, HistoryLost, OperatorEntry, PeerError, Peers, TableError
 
 #: Number of feeds that are followed.
 FEED_COUNT: Final = 2
@@ -27,29 +24,24 @@
 #: change, and 1 s for a late answer.
 RELAYED_FEED_MAX_AGE_S: Final = LONG_POLL_S + 1.0
 
-#: Interval between checks whether the coordinator still relays, in seconds.
-_RELAY_CHECK_INTERVAL_S: Final = 0.2
-
 #: Attempts at the parent before the table is asked. The parent itself needs one or two steps to get the configuration.
 _PARENT_TRIES: Final = 4
 
 #: Minimum pause between two attempts to get a configuration, in seconds: about the time that a parent takes to get it.
 _FETCH_PAUSE_S: Final = 0.12
 
-#: Time after a failed call during which a target missing from the registry is kept, in seconds. Entries that expired
-#: while the table was unavailable are back within about 2 s of its return.
-_REMOVAL_DELAY_S: Final = 2.5
+_NOTHING_KNOWN: Final[Mapping[str, Instant]] = types.MappingProxyType({})
 
 
 class ConfigurationFollower:
-    """Adopts each newer configuration from the feed or from peers.
+    """Adopts each newer configuration from the feed or from peers, and the evacuations from the feed.
 
     :param board: The blackboard.
-    :param feed: Feed of the operators' configuration.
+    :param feed: Feed of what operators write.
     :param peers: Client of the other instances.
     """
 
-    def __init__(self, board: Board, feed: Feed[Configuration], peers: Peers) -> None:
+    def __init__(self, board: Board, feed: Feed[OperatorEntry], peers: Peers) -> None:
         self._board = board
         self._feed = feed
         self._peers = peers
@@ -57,10 +49,24 @@
         self._preferred_peer = ''
         self._fallback_peer = ''
         self._is_fetch_due = asyncio.Event()
+        self._data_centres_by_key: dict[str, str] = {}
+        self._missing: MissingEntries[str] = MissingEntries()
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
-        await _follow(self._board, self._feed, self._apply, 'configuration', on_failure=_ignore_failure)
+        await FeedReader(self._board, self._feed, self._apply, 'configuration', self._record_failure).run()
+
+    def adopt_evacuations(self, since_by_data_centre: Mapping[str, Instant]) -> None:
+        """Apply the coordinator's list of evacuated data centres, and since when it has known of each."""
+        self._data_centres_by_key = {name: name for name in since_by_data_centre}
+        self._missing.forget()
+        self._publish_evacuations('coordinator', since_by_data_centre)
+
+    def remove_expired(self) -> None:
+        """Lift evacuations whose missing entries have not come back in time."""
+        for key in self._missing.pop_expired(self._board.clock()):
+            self._data_centres_by_key.pop(key, None)
+            self._publish_evacuations('table')
 
     async def run_fetches(self) -> None:
         """Fetch each newer configuration that peers report, until cancelled."""
@@ -131,12 +137,39 @@
             if answer.configuration is not None:
                 self._board.adopt(answer.configuration, f'peer {address}')
         else:
-            self._apply(dict((await self._feed.snapshot()).items), _is_snapshot=True)
+            self._apply(dict((await self._feed.snapshot()).items), is_snapshot=True)
 
-    def _apply(self, items: dict[str, Configuration | None], _is_snapshot: bool) -> None:
-        for configuration in items.values():
-            if configuration is not None:
-                self._board.adopt(configuration, 'table')
+    def _record_failure(self) -> None:
+        self._missing.record_failure(self._board.clock())
+
+    def _apply(self, items: dict[str, OperatorEntry | None], is_snapshot: bool) -> None:
+        for key, entry in items.items():
+            if isinstance(entry, Configuration):
+                self._board.adopt(entry, 'table')
+            elif isinstance(entry, Evacuation):
+                self._missing.record_present(key)
+                self._data_centres_by_key[key] = entry.data_centre
+        known = set(self._data_centres_by_key)
+        removed = known - set(items) if is_snapshot else {key for key, entry in items.items() if entry is None} & known
+        for key in removed:
+            if self._missing.is_gone(key, self._board.clock()):
+                self._data_centres_by_key.pop(key)
+            else:
+                log_event('evacuation_in_doubt', data_centre=self._data_centres_by_key[key])
+        self._publish_evacuations('table')
+
+    def _publish_evacuations(self, source: str, since: Mapping[str, Instant] = _NOTHING_KNOWN) -> None:
+        board = self._board
+        now = board.clock()
+        changed = board.evacuations.replace({name: since.get(name, now) for name in self._data_centres_by_key.values()})
+        if changed:
+            log_event(
+                'evacuations_changed',
+                changed=','.join(changed),
+                evacuated=','.join(board.evacuations.data_centres) or '-',
+                source=source,
+            )
+            board.changes.on_next('targets')
 
 
 class TargetFollower:
@@ -149,12 +182,11 @@
     def __init__(self, board: Board, feed: Feed[TargetDescription]) -> None:
         self._board = board
         self._feed = feed
-        self._missing_since: dict[TargetId, Instant] = {}
-        self._failed_at: Instant = float('-inf')
+        self._missing: MissingEntries[TargetId] = MissingEntries()
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
-        await _follow(self._board, self._feed, self._apply, 'targets', on_failure=self._record_failure)
+        await FeedReader(self._board, self._feed, self._apply, 'targets', self._record_failure).run()
 
     def adopt(self, changes: Difference[TargetDescription]) -> None:
         """Apply the coordinator's view of the registry, which still lists targets that it has not confirmed as gone.
@@ -171,14 +203,11 @@
 
     def remove_expired(self) -> None:
         """Remove missing targets whose entries have not come back in time."""
-        now = self._board.clock()
-        for target, missing_since in tuple(self._missing_since.items()):
-            if now - max(missing_since, self._failed_at) >= _REMOVAL_DELAY_S:
-                self._missing_since.pop(target)
-                self._remove(target)
+        for target in self._missing.pop_expired(self._board.clock()):
+            self._remove(target)
 
     def _record_failure(self) -> None:
-        self._failed_at = self._board.clock()
+        self._missing.record_failure(self._board.clock())
 
     def _apply(self, items: dict[str, TargetDescription | None], is_snapshot: bool) -> None:
         for name, description in items.items():
@@ -186,7 +215,7 @@
             if description is None:
                 self._handle_missing(target)
             else:
-                self._missing_since.pop(target, None)
+                self._missing.record_present(target)
                 self._put(description)
         if is_snapshot:
             for target in tuple(self._board.targets_by_id):
@@ -198,6 +227,9 @@
         known = self._board.targets_by_id.get(description.target)
         if known == description:
             return
+        if known is not None and known.is_draining and known.born_ms == description.born_ms:
+            # A target that has said that it leaves does not come back; a copy of the registry may say so.
+            description = dataclasses.replace(description, is_draining=True)
         self._board.targets_by_id[description.target] = description
         log_event(
             'target_seen',
@@ -214,79 +246,12 @@
         if target not in self._board.targets_by_id:
             return
         now = self._board.clock()
-        if now - self._failed_at < _REMOVAL_DELAY_S:
-            self._missing_since.setdefault(target, now)
-            log_event('target_in_doubt', target=target, failed_s=round(now - self._failed_at, 2))
-        else:
+        if self._missing.is_gone(target, now):
             self._remove(target)
+        else:
+            log_event('target_in_doubt', target=target, failed_s=round(self._missing.failed_s(now), 2))
 
     def _remove(self, target: TargetId) -> None:
         if self._board.targets_by_id.pop(target, None) is not None:
             log_event('target_gone', target=target)
             self._board.changes.on_next('targets')
-
-
-async def _follow(
-    board: Board,
-    feed: Feed[Item],
-    apply: Callable[[dict[str, Item | None], bool], None],
-    name: str,
-    on_failure: Callable[[], None],
-) -> None:
-    version: int | None = None
-    era: Era | None = None
-    is_lost = False
-    while True:
-        if version is not None and await _wait_while_relayed(board):
-            # The coordinator followed the feeds in the meantime, so this instance starts again with a snapshot.
-            version = None
-        try:
-            batch = await feed.snapshot() if version is None else await feed.changes(version, LONG_POLL_S)
-            if era is not None and batch.era < era:
-                raise TableError(f'answer of era {batch.era}, the present one is {era}')  # noqa: TRY301 -- as no answer
-            if era is not None and batch.era > era:
-                # The copy may lack entries until their writers have written them again, as after an outage.
-                log_event('feed_era_changed', feed=name, era=batch.era, earlier=era)
-                on_failure()
-                era, version = batch.era, None
-                continue
-            era = batch.era
-            if batch.items or version is None:
-                apply(dict(batch.items), version is None)
-            version = batch.version
-        except HistoryLost:
-            log_event('feed_history_lost', feed=name, version=version)
-            version = None
-        except TableError as error:
-            on_failure()
-            _log_feed_lost(name, error, is_lost=is_lost)
-            is_lost = True
-            pause_s = retry_interval_s(board.member_count())
-            await asyncio.sleep(random.uniform(pause_s / 2, pause_s * 2))  # noqa: S311 -- spreads calls, no secret
-        else:
-            board.feed_answered_at[name] = board.clock()
-            if is_lost:
-                log_event('feed_regained', feed=name, version=version)
-            is_lost = False
-
-
-def _ignore_failure() -> None:
-    """Ignore a failed call, since the present configuration stays in force."""
-
-
-def _log_feed_lost(name: str, error: TableError, *, is_lost: bool) -> None:
-    """Log the first of consecutive failures."""
-    if not is_lost:
-        log_event('feed_lost', feed=name, detail=str(error))
-
-
-async def _wait_while_relayed(board: Board) -> bool:
-    """Wait for as long as the coordinator relays the feeds.
-
-    :returns: Whether it relayed them at all.
-    """
-    has_waited = False
-    while board.is_relayed() and not board.lease.is_own():
-        has_waited = True
-        await asyncio.sleep(_RELAY_CHECK_INTERVAL_S)
-    return has_waited
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from fescuequay_core.relay.model import Configuration, TargetDescription
+from fescuequay_core.relay.model import TargetDescription
+from fescuequay_core.relay.evacuation import Evacuations
 from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId
 from fescuequay_entry.relay.board import Board, InstanceIdentity, log_event
@@ -22,6 +23,7 @@
     CallerConnection,
     CallerListener,
     Feed,
+    OperatorEntry,
     Peers,
     Promoter,
     Table,
@@ -33,6 +35,8 @@
 from fescuequay_entry.relay.settings import RelaySettings
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
+_S_PER_MS: Final = 0.001
+
 #: Interval between clean-ups of idle connections and expired target entries, in seconds.
 _SWEEP_INTERVAL_S: Final = 0.5
 
@@ -70,7 +74,7 @@
     :param listener: Accepts callers.
     :param driver: Opens connections to targets.
     :param table: The system's own table.
-    :param configurations: Feed of the operators' configuration.
+    :param configurations: Feed of what operators write: the configuration, and data centres to evacuate.
     :param targets: Feed of the target registry.
     :param promoter: Promotes targets.
     :param peers: Sends requests to other instances.
@@ -81,7 +85,7 @@
         listener: CallerListener,
         driver: TargetDriver,
         table: Table,
-        configurations: Feed[Configuration],
+        configurations: Feed[OperatorEntry],
         targets: Feed[TargetDescription],
         promoter: Promoter,
         peers: Peers,
@@ -116,7 +120,12 @@
             settings.data_centre,
             f'{settings.host}:{settings.peer_ports[0]}',
         )
-        self.board = Board(own, clock, Tolerance(settings.limit_window_s, settings.limit_overage, settings.limit_slack))
+        self.board = Board(
+            own,
+            clock,
+            Tolerance(settings.limit_window_s, settings.limit_overage, settings.limit_slack),
+            Evacuations(settings.evacuation_ms * _S_PER_MS),
+        )
         self.metrics = RelayMetrics()
         self._adapters = adapters
         self._pools = Pools(self.board, adapters.driver)
@@ -203,6 +212,7 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._pools.sweep()
             self._target_follower.remove_expired()
+            self.configurations.remove_expired()
             self.metrics.record_age.set(self.board.permits.oldest_age_s(self.board.clock()))
             if self.board.configuration is not None:
                 self.metrics.configuration.set(self.board.configuration.version)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -361,6 +361,10 @@
             self._send_news(address, News(held, board.own.peer_address))
         if answer.targets is not None:
             self._targets.adopt(answer.targets)
+        if answer.evacuated_s is not None:
+            self._configurations.adopt_evacuations(
+                {name: began_at - age_s for name, age_s in answer.evacuated_s.items()}
+            )
         if answer.feed_age_s < RELAYED_FEED_MAX_AGE_S:
             board.relayed_until = began_at + contact_timeout_s(board.member_count())
         for service, sample in answer.samples.items():
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -10,6 +10,7 @@
     Configuration,
     Credential,
     DatabaseName,
+    Evacuation,
     LogPosition,
     SessionState,
     Statement,
@@ -158,7 +159,10 @@
         """
 
 
-ConfigurationFeed: TypeAlias = Feed[Configuration]
+#: What operators write: the configuration, and data centres to evacuate.
+OperatorEntry: TypeAlias = Configuration | Evacuation
+
+OperatorFeed: TypeAlias = Feed[OperatorEntry]
 TargetFeed: TypeAlias = Feed[TargetDescription]
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -2,70 +2,36 @@
 
 import asyncio
 import dataclasses
-import itertools
 import secrets
 from collections.abc import Iterable, Mapping
-from typing import Final, TypeVar
 
 import msgspec
 
-from fescuequay_core.relay import eras, settlement
-from fescuequay_core.relay.model import LeaderRecord, LeaseRecord, LeaseRow, MemberRecord
+from fescuequay_core.relay import eras
+from fescuequay_core.relay.model import LeaderRecord, LeaseRecord, MemberRecord
 from fescuequay_core.relay.permits import PERMIT_MARGIN_S, PERMIT_S
 from fescuequay_core.relay.tableclock import ReadingDates, TableClock
-from fescuequay_core.types import Era, InstanceId, Instant, LeaderState
+from fescuequay_core.types import Era, InstanceId, Instant
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.era_table import EraTable
 from fescuequay_entry.relay.ports import CommitResult, Table, TableError, TableRow
-
-Record = TypeVar('Record', LeaseRow, LeaderRecord, MemberRecord)
-
-Versioned = TypeVar('Versioned', LeaseRow, LeaderRecord)
-
-_LEASE_KEY: Final = 'duty'
-_LEADER_PREFIX: Final = 'leader/'
-_MEMBER_PREFIX: Final = 'member/'
-
-#: Maximum number of rows that one transaction carries over to a new era or removes; the table's limit is 100 entries.
-_MAX_BATCH_ROWS: Final = 90
+from fescuequay_entry.relay.table_rows import (
+    LEADER_PREFIX,
+    LEASE_KEY,
+    MAX_BATCH_ROWS,
+    MEMBER_PREFIX,
+    Rows,
+    lease_of,
+    rows_of_new_era,
+    split_batch,
+    with_version,
+)
 
 
 class DutyLost(Exception):
     """Another instance has taken the lease."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Rows:
-    """The decoded rows of one read of the table.
-
-    :param lease: The coordinator lease.
-    :param leaders: The leader records of the services.
-    :param members_by_id: The registered instances.
-    :param versions_by_member: Row versions of the instances.
-    """
-
-    lease: LeaseRow | None = None
-    leaders: list[LeaderRecord] = dataclasses.field(default_factory=list)
-    members_by_id: dict[InstanceId, MemberRecord] = dataclasses.field(default_factory=dict)
-    versions_by_member: dict[InstanceId, int] = dataclasses.field(default_factory=dict)
-
-    @classmethod
-    def decode(cls, rows: Iterable[TableRow]) -> '_Rows':
-        """:returns: The rows that could be decoded; the others are logged and skipped."""
-        found = cls()
-        for row in rows:
-            if row.key == _LEASE_KEY:
-                found.lease = _decode(row, LeaseRow)
-            elif row.key.startswith(_LEADER_PREFIX):
-                found.leaders.extend(filter(None, [_decode(row, LeaderRecord)]))
-            elif row.key.startswith(_MEMBER_PREFIX):
-                member = _decode(row, MemberRecord)
-                if member is not None:
-                    found.members_by_id[member.instance] = member
-                    found.versions_by_member[member.instance] = row.version
-        return found
-
-
 class Records:
     """Reads and writes the system's rows and updates the blackboard with what it reads.
 
@@ -97,8 +63,8 @@
         began_at = board.clock()
         reading = await self._table.read()
         self._record_clock(reading.at_s, began_at)
-        rows = _Rows.decode(reading.rows)
-        self._leaders_left = tuple(_Rows.decode(reading.earlier_rows).leaders)
+        rows = Rows.decode(reading.rows)
+        self._leaders_left = tuple(Rows.decode(reading.earlier_rows).leaders)
         self._leftover_keys = reading.leftover_keys
         if rows.lease is None and board.lease.holds(board.clock()):
             # The holder of the earlier era knows more than the table, and settles the new one from that.
@@ -137,7 +103,7 @@
         own = self._board.own
         began_at = self._board.clock()
         member = MemberRecord(own.instance, own.incarnation, own.peer_address, own.data_centre)
-        written = await self._table.commit({}, {_MEMBER_PREFIX + own.instance: msgspec.json.encode(member)})
+        written = await self._table.commit({}, {MEMBER_PREFIX + own.instance: msgspec.json.encode(member)})
         self._row_versions_by_member[own.instance] = written.version
         self._registered_at = began_at
 
@@ -152,7 +118,7 @@
         if not self._board.lease.is_present(self._row_versions_by_member[own]):
             await self.read()
         if self._board.lease.is_present(self._row_versions_by_member[own]):
-            await self._table.commit(self._row_conditions([own]), {}, [_MEMBER_PREFIX + own])
+            await self._table.commit(self._row_conditions([own]), {}, [MEMBER_PREFIX + own])
 
     async def acquire_lease(self) -> bool:
         """Acquire the coordinator lease; in an era that has none yet, carry over what is known of the earlier ones.
@@ -179,18 +145,20 @@
             ),
             began_at,
         )
-        rows = {} if known else self._rows_to_carry_over(began_at)
-        first, later = _split_rows(rows)
+        is_complete = lease.record is not None and lease.record.version == self._complete_lease_version
+        is_holder = lease.holds(began_at) and is_complete
+        rows = {} if known else rows_of_new_era(self._board, self._leaders_left, began_at, is_holder=is_holder)
+        first, later = split_batch(rows)
         taken = await self._table.commit(
-            {_LEASE_KEY: known.version if known else 0}, {**first, _LEASE_KEY: msgspec.json.encode(record)}
+            {LEASE_KEY: known.version if known else 0}, {**first, LEASE_KEY: msgspec.json.encode(record)}
         )
         if not taken.is_accepted:
-            row = taken.rows_by_key.get(_LEASE_KEY)
-            lease.observe(_lease_of(row), self._board.clock(), self._board.clock())
+            row = taken.rows_by_key.get(LEASE_KEY)
+            lease.observe(lease_of(row), self._board.clock(), self._board.clock())
             return False
         self._unresolved_write_at = float('inf')
         self.previous_lease_until = expires_at
-        lease.record_renewal(_with_version(record, taken.version).record(), began_at, self._board.clock())
+        lease.record_renewal(with_version(record, taken.version).record(), began_at, self._board.clock())
         log_event('duty_taken', token=record.token, earlier=known.instance if known else '-')
         if not known:
             lease.date_settlement(began_at)
@@ -201,48 +169,6 @@
             await self._carry_over(later)
         return True
 
-    def _rows_to_carry_over(self, now: Instant) -> dict[str, bytes]:
-        """:returns: Leader records and instances that are to be written in the new era, leader records first."""
-        board = self._board
-        lease = board.lease
-        is_holder = (
-            lease.holds(now) and lease.record is not None and lease.record.version == self._complete_lease_version
-        )
-        leaders = settlement.settle(
-            itertools.chain(self._leaders_left, board.permits.records()), board.permits, now, is_holder=is_holder
-        )
-        members = [member for member in board.members_by_id.values() if not member.is_leaving]
-        if leaders or self._leftover_keys:
-            log_event(
-                'era_settling',
-                era=lease.era,
-                holds=is_holder,
-                since_s=round(now - lease.era_seen_at, 3),
-                kept=','.join(record.service for record in leaders if record.state is LeaderState.LEADING) or '-',
-                in_doubt=','.join(record.service for record in leaders if record.state is LeaderState.CLOSING) or '-',
-                members=len(members),
-            )
-        return {
-            **{_LEADER_PREFIX + record.service: msgspec.json.encode(record) for record in leaders},
-            **{_MEMBER_PREFIX + member.instance: msgspec.json.encode(member) for member in members},
-        }
-
-    async def _carry_over(self, rows: Mapping[str, bytes]) -> None:
-        """Write the rows that did not fit into the transaction that settled the era."""
-        while rows:
-            first, rows = _split_rows(rows)
-            began_at = self._board.clock()
-            version = await self._write({key: 0 for key in first}, first)
-            self._adopt_carried(first, version, began_at)
-
-    def _adopt_carried(self, rows: Mapping[str, bytes], version: int, began_at: Instant) -> None:
-        """Update the view with rows that this instance has written as they are in the new era."""
-        written = _Rows.decode(TableRow(key, content, version) for key, content in rows.items())
-        for leader in written.leaders:
-            self._board.update_record(leader, began_at, 'own')
-        self._row_versions_by_member.update(written.versions_by_member)
-        self._board.listed |= {(member.instance, member.incarnation) for member in written.members_by_id.values()}
-
     async def release_lease(self) -> None:
         """Release the coordinator lease. :raises TableError: The table may still show it as held."""
         record = self._board.lease.record
@@ -251,7 +177,7 @@
         # Resign first: another instance may acquire the lease before the answer of the table arrives here.
         self._board.lease.record_resignation(record.token)
         free = LeaseRecord(InstanceId(''), '', '', record.token, secrets.token_hex(4))
-        await self._table.commit({_LEASE_KEY: record.version}, {_LEASE_KEY: msgspec.json.encode(free)})
+        await self._table.commit({LEASE_KEY: record.version}, {LEASE_KEY: msgspec.json.encode(free)})
 
     async def renew(self) -> None:
         """Renew the lease and confirm the leader records, which only the lease holder can have changed.
@@ -286,11 +212,11 @@
         :raises DutyLost: Another instance holds the lease.
         """
         began_at = self._board.clock()
-        key = _LEADER_PREFIX + record.service
+        key = LEADER_PREFIX + record.service
         # A record of an earlier era was not carried over, so its key must still be free.
         expected = record.version if self._board.lease.is_present(record.version) else 0
         version = await self._write({key: expected}, {key: msgspec.json.encode(record)})
-        written = _with_version(record, version)
+        written = with_version(record, version)
         self._board.update_record(written, began_at, 'own')
         return written
 
@@ -305,7 +231,7 @@
         marked = {instance: dataclasses.replace(members[instance], is_leaving=True) for instance in instances}
         await self._write(
             self._row_conditions(marked),
-            {_MEMBER_PREFIX + instance: msgspec.json.encode(member) for instance, member in marked.items()},
+            {MEMBER_PREFIX + instance: msgspec.json.encode(member) for instance, member in marked.items()},
         )
         # The next read supplies the new row versions.
         self._board.listed = frozenset(pair for pair in self._board.listed if pair[0] not in marked)
@@ -323,7 +249,7 @@
         :raises DutyLost: Another instance holds the lease.
         """
         gone = list(instances)
-        await self._write(self._row_conditions(gone), {}, [_MEMBER_PREFIX + instance for instance in gone])
+        await self._write(self._row_conditions(gone), {}, [MEMBER_PREFIX + instance for instance in gone])
 
     async def remove_leftovers(self) -> None:
         """Remove rows that are left of earlier eras, as many as one transaction takes.
@@ -331,11 +257,27 @@
         :raises TableError: They may still exist.
         :raises DutyLost: Another instance holds the lease.
         """
-        keys = self._leftover_keys[:_MAX_BATCH_ROWS]
+        keys = self._leftover_keys[:MAX_BATCH_ROWS]
         if keys:
             await self._write({}, {}, leftover_keys=keys)
             log_event('leftovers_removed', count=len(keys), era=self._board.lease.era)
 
+    async def _carry_over(self, rows: Mapping[str, bytes]) -> None:
+        """Write the rows that did not fit into the transaction that settled the era."""
+        while rows:
+            first, rows = split_batch(rows)
+            began_at = self._board.clock()
+            version = await self._write({key: 0 for key in first}, first)
+            self._adopt_carried(first, version, began_at)
+
+    def _adopt_carried(self, rows: Mapping[str, bytes], version: int, began_at: Instant) -> None:
+        """Update the view with rows that this instance has written as they are in the new era."""
+        written = Rows.decode(TableRow(key, content, version) for key, content in rows.items())
+        for leader in written.leaders:
+            self._board.update_record(leader, began_at, 'own')
+        self._row_versions_by_member.update(written.versions_by_member)
+        self._board.listed |= {(member.instance, member.incarnation) for member in written.members_by_id.values()}
+
     def _record_clock(self, at_s: float, asked_at: Instant) -> None:
         """Record an answer of the table's clock, which may have started anew with an era."""
         if self._clock_era != self._board.lease.era:
@@ -359,7 +301,7 @@
         self._leaving_since = marks
 
     def _row_conditions(self, instances: Iterable[InstanceId]) -> dict[str, int]:
-        return {_MEMBER_PREFIX + instance: self._row_versions_by_member[instance] for instance in instances}
+        return {MEMBER_PREFIX + instance: self._row_versions_by_member[instance] for instance in instances}
 
     async def _write(
         self,
@@ -391,8 +333,8 @@
             if puts or deletes:
                 self._unresolved_write_at = min(self._unresolved_write_at, began_at)
             written = await self._table.commit(
-                {**versions, _LEASE_KEY: held.version},
-                {**puts, _LEASE_KEY: msgspec.json.encode(record)},
+                {**versions, LEASE_KEY: held.version},
+                {**puts, LEASE_KEY: msgspec.json.encode(record)},
                 list(deletes),
                 leftover_keys,
             )
@@ -403,7 +345,7 @@
                 self._unresolved_write_at = float('inf')
                 self._complete_lease_version = written.version
                 self._board.lease.record_renewal(
-                    _with_version(record, written.version).record(), began_at, self._board.clock()
+                    with_version(record, written.version).record(), began_at, self._board.clock()
                 )
                 return written.version
             await self._resolve(written)
@@ -414,8 +356,8 @@
 
         :raises DutyLost: Another instance holds the lease.
         """
-        row = written.rows_by_key.get(_LEASE_KEY)
-        present = _lease_of(row)
+        row = written.rows_by_key.get(LEASE_KEY)
+        present = lease_of(row)
         own = self._board.own
         if present is not None and present.incarnation == own.incarnation:
             known = self._board.lease.record
@@ -426,27 +368,3 @@
         self._board.lease.observe(present, self._board.clock(), self._board.clock())
         log_event('duty_lost', holder=present.instance if present else '-', token=present.token if present else 0)
         raise DutyLost
-
-
-def _split_rows(rows: Mapping[str, bytes]) -> tuple[dict[str, bytes], dict[str, bytes]]:
-    """:returns: As many rows as one transaction takes, and the others."""
-    items = tuple(rows.items())
-    return dict(items[:_MAX_BATCH_ROWS]), dict(items[_MAX_BATCH_ROWS:])
-
-
-def _decode(row: TableRow, kind: type[Record]) -> Record | None:
-    try:
-        record = msgspec.json.decode(row.content, type=kind)
-    except msgspec.MsgspecError as error:
-        log_event('bad_row', key=row.key, version=row.version, detail=str(error))
-        return None
-    return record if isinstance(record, MemberRecord) else _with_version(record, row.version)
-
-
-def _lease_of(row: TableRow | None) -> LeaseRecord | None:
-    found = _decode(row, LeaseRow) if row is not None else None
-    return found.record() if found is not None else None
-
-
-def _with_version(record: Versioned, version: int) -> Versioned:
-    return dataclasses.replace(record, version=version)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -267,7 +267,7 @@
             eligible = [
                 target
                 for target in self._board.targets_of(closing.service)
-                if target.target != closing.target or (log_end is not None and not target.is_draining)
+                if target.target != closing.target or (log_end is not None and not self._is_leaving(target))
             ]
             reports = await self._ask_candidates(eligible, closing, must_hold=must_hold)
             is_late = self._board.clock() - began_at > _REPORTS_TIMEOUT_S
@@ -296,6 +296,9 @@
             if answer is not None
         }
 
+    def _is_leaving(self, target: TargetDescription) -> bool:
+        return target.is_draining or self._board.evacuations.includes(target.data_centre)
+
     def _acknowledging_replicas(self, service: ServiceId) -> int:
         configuration = self._board.configuration
         policy = configuration.services_by_id.get(service) if configuration else None
@@ -309,7 +312,7 @@
             if leading is not None:
                 return leading
             answering = [
-                candidates.PromotionCandidate(target, report)
+                candidates.PromotionCandidate(target, report, self._is_leaving(target))
                 for target, report in reports.values()
                 if target.target != closing.target or len(reports) == 1
             ]
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -282,6 +282,9 @@
         if transaction.placement is None:
             transaction.placement = await self._begin_or_return_token(transaction)
         placement = transaction.placement
+        if self._board.is_closed(placement.pooled.target):
+            target = placement.pooled.target
+            raise Refused(refusals.TRANSACTION_EVACUATED, f'{target.target} in {target.data_centre} gets no more work')
         is_commit = statement.kind is StatementKind.COMMIT
         transaction.has_written = transaction.has_written or is_write
         try:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -30,6 +30,8 @@
     :param limit_window_s: Length of the window over which rate limits are measured, in seconds.
     :param limit_overage: Fraction by which a limit may be exceeded within a window.
     :param limit_slack: Number of operations by which it may be exceeded in addition.
+    :param evacuation_ms: Time from the operators' request to evacuate a data centre after which its targets may get no
+        work, in milliseconds.
     :param log_level: Minimum level of log lines.
     """
 
@@ -45,6 +47,7 @@
     limit_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5.0
     limit_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     limit_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    evacuation_ms: Annotated[float, msgspec.Meta(gt=0)] = 5000.0
     log_level: str = 'info'
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -380,7 +380,7 @@
             self.release(placement, is_clean=False)
             tried.add(target.target)
             return None
-        if not self.has_valid_permit(placement):
+        if not self.has_valid_permit(placement) or self._board.is_closed(target):
             self.release(placement, is_clean=True)
             return None
         return placement
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -23,6 +23,9 @@
 #: Retry-after of an operation that found no primary, in seconds: about the duration of a promotion.
 _PRIMARY_RETRY_AFTER_S: Final = 0.5
 
+#: Retry-after of an operation whose data centre is evacuated, in seconds: the time that a replacement takes.
+_EVACUATED_RETRY_AFTER_S: Final = 2.0
+
 #: Share of a statement's time limit for which a read may wait for a target that can run it.
 _READ_WAIT_SHARE: Final = 0.4
 
@@ -64,6 +67,7 @@
                 if health.is_usable(now):
                     tried.discard(leader[1].target)
                     return leader
+            self._refuse_if_evacuated(operation, now)
             limit = self._board.may_wait_until(self._wait_until(operation, leader, now))
             if now >= limit:
                 record = self._board.permits.record(service)
@@ -88,6 +92,7 @@
             choice = self._best_reader(operation, tried, now)
             if choice is not None:
                 return choice
+            self._refuse_if_evacuated(operation, now)
             if now >= min(self._wait_until(operation, self._board.leader(operation.route.service), now), latest):
                 raise Refused(
                     refusals.NO_TARGET, f'no target of {operation.route.service} can run the read', READ_RETRY_AFTER_S
@@ -95,6 +100,23 @@
             await self._board.wait_for_change(BUSY_TARGET_PAUSE_S if tried else RECHECK_INTERVAL_S)
             tried.clear()
 
+    def _refuse_if_evacuated(self, operation: Operation, now: Instant) -> None:
+        """Refuse an operation at once that waits in vain for a target.
+
+        :raises Refused: The primary is in an evacuated data centre, and nobody replaces it.
+        """
+        service = operation.route.service
+        record = self._board.permits.record(service)
+        primary = self._board.targets_by_id.get(record.target) if record is not None else None
+        if record is None or primary is None or record.state is not LeaderState.LEADING:
+            return
+        if self._board.evacuations.is_closed(primary.data_centre, now):
+            raise Refused(
+                refusals.EVACUATED,
+                f'primary {primary.target} of {service} is in the evacuated data centre {primary.data_centre}',
+                _EVACUATED_RETRY_AFTER_S,
+            )
+
     def _wait_until(
         self, operation: Operation, leader: tuple[LeaderRecord, TargetDescription] | None, now: Instant
     ) -> Instant:
