Test the HTTP client and server of the instances

Cause: requests, answers and connections are handled by our own code on a parser now. Change: features/http.feature: malformed, pipelined, oversized and arbitrary requests get one answer and at most one bounded log line; a kept connection that ends repeats a read and never a write; a refused connection says that nothing was sent. An unused method of the connection pool is removed.

--- /dev/null
+++ b/features/http.feature
@@ -0,0 +1,57 @@
+Feature: HTTP between instances, the table and the promoter
+  Instances speak HTTP/1.1 with each other, the table and the promoter. No request that any outsider can send ends a
+  process, holds a connection for good or writes more than one bounded log line, and no request is sent twice if the
+  first one may have arrived.
+
+  Scenario Outline: The listener gets <what>
+    Given a listener that echoes the body of a POST to /echo
+    When it gets the bytes <bytes>
+    Then it answers with <statuses>
+    And it logged at most one line of at most 300 characters
+    And it still answers a request on a new connection
+
+    Examples:
+      | what | bytes | statuses |
+      | a request | POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi | 200 hi |
+      | two requests at once | POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\naPOST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb | 200 a, 200 b |
+      | a chunked body | POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n | 200 hi |
+      | an unknown path | GET /other HTTP/1.1\r\nHost: a\r\n\r\n | 404 |
+      | another method | PUT /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n | 404 |
+      | no HTTP | \x00\x01\x02\x03\r\n\r\n | 400 |
+      | an unreadable length | POST /echo HTTP/1.1\r\nContent-Length: x\r\n\r\n | 400 |
+      | a length and chunks | POST /echo HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 400 |
+      | an upgrade | GET /echo HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n | 400 |
+      | a request that its handler can't serve | POST /fail HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n | 500 |
+      | the last request of a connection | POST /echo HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nz | 200 z |
+
+  Scenario: A request that is longer than the limit is answered before it has arrived
+    Given a listener that echoes the body of a POST to /echo
+    When it gets 3 MB of a request of 100 MB
+    Then it answers with 413
+
+  Scenario: Any bytes are answered or end only their connection
+    Given a listener that echoes the body of a POST to /echo
+    Then no arbitrary bytes end it
+
+  Scenario Outline: The other end answers with <what>
+    Given an HTTP end that answers <answers>
+    When a client sends <method> twice
+    Then the results are <results>
+    And the end got <count> requests on <connections> connections
+
+    Examples:
+      | what | answers | method | results | count | connections |
+      | lengths | ok, ok | POST | 200 ok, 200 ok | 2 | 1 |
+      | chunks | chunked, ok | POST | 200 ok, 200 ok | 2 | 1 |
+      | a body without a length | until the end, ok | POST | 200 ok, 200 ok | 2 | 2 |
+      | a close after each answer | ok and close, ok | POST | 200 ok, 200 ok | 2 | 2 |
+      | half an answer | half, ok | GET | error, 200 ok | 2 | 2 |
+      | no HTTP | rubbish, ok | GET | error, 200 ok | 2 | 2 |
+      | an end of the kept connection to a read | ok, end, ok | GET | 200 ok, 200 ok | 3 | 2 |
+      | an end of the kept connection to a write | ok, end, ok | POST | 200 ok, error | 2 | 1 |
+      | silence | silence, ok | POST | timeout, 200 ok | 2 | 2 |
+      | bytes that nobody asked for | ok and more, ok | POST | 200 ok, 200 ok | 2 | 2 |
+
+  Scenario: A connection that is refused says that nothing was sent
+    When a client sends a request to a port at which nobody listens
+    Then the error says that nothing was sent
--- /dev/null
+++ b/features/steps/http_steps.py
@@ -0,0 +1,253 @@
+"""Steps of the HTTP client and the HTTP server of the instances, on loopback."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import settings, strategies
+
+from fescuequay_entry.relay.http_client import HttpClient, HttpError
+from fescuequay_entry.relay.http_server import Answer, HttpServer, Request
+
+_HOST: Final = '127.0.0.1'
+_KEEP_ALIVE_S: Final = 5.0
+_TIMEOUT_S: Final = 2.0
+
+#: Time that the client waits for an end that stays silent, in seconds.
+_SILENCE_S: Final = 0.1
+
+_VALID: Final = b'POST /echo HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok'
+
+_OK: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+_BYTES_BY_ANSWER: Final = {
+    'ok': _OK,
+    'chunked': b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+    'until the end': b'HTTP/1.1 200 OK\r\n\r\nok',
+    'ok and close': b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok',
+    'half': b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok',
+    'rubbish': b'\x00\x01 rubbish\r\n\r\n',
+    'end': b'',
+    'silence': b'',
+    'ok and more': _OK + b'more',
+}
+
+#: Answers after which the end closes the connection.
+_CLOSING: Final = frozenset(('until the end', 'ok and close', 'half', 'end'))
+
+
+class _Lines(logging.Handler):
+    """Collects log lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.lines.append(f'{record.getMessage()} {getattr(record, "pairs", "")}')
+
+
+async def _echo(request: Request) -> Answer:
+    return Answer(body=request.body)
+
+
+async def _fail(_request: Request) -> Answer:
+    raise ValueError('x' * 1000)
+
+
+async def _send(port: int, sent: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(_HOST, port)
+    try:
+        writer.write(sent)
+        writer.write_eof()
+        return await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+    except ConnectionError:
+        return b''
+    finally:
+        writer.transport.abort()
+
+
+def _with_server(step: Callable[[int], Awaitable[Any]]) -> tuple[Any, list[str]]:
+    """Run a step against a server, and collect what is logged."""
+    handler = _Lines()
+
+    async def run() -> Any:
+        server = HttpServer({('POST', '/echo'): _echo, ('POST', '/fail'): _fail}, _KEEP_ALIVE_S)
+        await server.start(_HOST, 0)
+        try:
+            return await step(server.port)
+        finally:
+            server.stop()
+
+    log = logging.getLogger('fescuequay')
+    log.addHandler(handler)
+    try:
+        return asyncio.run(run()), handler.lines
+    finally:
+        log.removeHandler(handler)
+
+
+def _describe(received: bytes) -> str:
+    """:returns: Status and body of each answer."""
+    parts = [part.partition(b'\r\n\r\n') for part in received.split(b'HTTP/1.1 ') if part]
+    return ', '.join(f'{head[:3].decode()} {body.decode()}'.strip() for head, _, body in parts)
+
+
+@given('a listener that echoes the body of a POST to /echo')
+def step_listener(context: Any) -> None:
+    context.received = b''
+
+
+@when('it gets the bytes {text}')
+def step_bytes(context: Any, text: str) -> None:
+    sent = text.encode().decode('unicode_escape').encode('latin-1')
+
+    async def ask(port: int) -> tuple[bytes, bytes]:
+        return await _send(port, sent), await _send(port, _VALID)
+
+    (context.received, context.later), context.lines = _with_server(ask)
+
+
+@when('it gets {size:d} MB of a request of {total:d} MB')
+def step_large(context: Any, size: int, total: int) -> None:
+    head = f'POST /echo HTTP/1.1\r\nContent-Length: {total * 1_000_000}\r\n\r\n'.encode()
+
+    async def ask(port: int) -> bytes:
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(head + b'x' * (size * 1_000_000))
+        answer = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), _TIMEOUT_S)
+        writer.transport.abort()
+        return answer
+
+    context.received = _with_server(ask)[0]
+
+
+@then('it answers with {answers}')
+def step_answers(context: Any, answers: str) -> None:
+    assert _describe(context.received) == answers, context.received
+
+
+@then('it logged at most one line of at most {length:d} characters')
+def step_lines(context: Any, length: int) -> None:
+    assert len(context.lines) <= 1 and all(len(line) <= length for line in context.lines), context.lines
+
+
+@then('it still answers a request on a new connection')
+def step_later(context: Any) -> None:
+    assert _describe(context.later) == '200 ok', context.later
+
+
+@then('no arbitrary bytes end it')
+def step_arbitrary(context: Any) -> None:
+    @settings(max_examples=60, deadline=None, derandomize=True, database=None)
+    @any_of(strategies.binary(max_size=300), strategies.booleans())
+    def check(sent: bytes, is_after_line: bool) -> None:
+        prefix = b'POST /echo HTTP/1.1\r\n' if is_after_line else b''
+
+        async def ask(port: int) -> bytes:
+            await _send(port, prefix + sent)
+            return await _send(port, _VALID)
+
+        received = _with_server(ask)[0]
+        assert _describe(received) == '200 ok', (sent, received)
+
+    check()
+
+
+class _ScriptedEnd:
+    """Answers each request with the next answer of a script."""
+
+    def __init__(self, answers: list[str]) -> None:
+        self._answers = answers
+        self.requests = 0
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """:returns: Its address."""
+        self._server = await asyncio.start_server(self._serve, _HOST, 0)
+        return f'{_HOST}:{self._server.sockets[0].getsockname()[1]}'
+
+    def stop(self) -> None:
+        """Stop listening."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                self.requests += 1
+                answer = self._answers.pop(0)
+                writer.write(_BYTES_BY_ANSWER[answer])
+                if answer in _CLOSING:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+@given('an HTTP end that answers {answers}')
+def step_end(context: Any, answers: str) -> None:
+    context.end = _ScriptedEnd(answers.split(', '))
+
+
+@when('a client sends {method} twice')
+def step_twice(context: Any, method: str) -> None:
+    async def ask(client: HttpClient, address: str) -> str:
+        try:
+            async with asyncio.timeout(_SILENCE_S):
+                response = await client.request(method, address, '/x', query={'a': 'b c'})
+        except HttpError:
+            return 'error'
+        except TimeoutError:
+            return 'timeout'
+        return f'{response.status} {response.body.decode()}'
+
+    async def run() -> list[str]:
+        address = await context.end.start()
+        client = HttpClient()
+        results = []
+        for _ in range(2):
+            results.append(await ask(client, address))
+            # Lets the end of a connection arrive.
+            await asyncio.sleep(0.02)
+        client.close()
+        context.end.stop()
+        return results
+
+    context.results = asyncio.run(run())
+
+
+@then('the results are {results}')
+def step_results(context: Any, results: str) -> None:
+    assert ', '.join(context.results) == results, context.results
+
+
+@then('the end got {count:d} requests on {connections:d} connections')
+def step_counts(context: Any, count: int, connections: int) -> None:
+    assert (context.end.requests, context.end.connections) == (count, connections)
+
+
+@when('a client sends a request to a port at which nobody listens')
+def step_refused(context: Any) -> None:
+    async def run() -> None:
+        end = _ScriptedEnd([])
+        address = await end.start()
+        end.stop()
+        await asyncio.sleep(0)
+        try:
+            await HttpClient().request('POST', address, '/x')
+        except HttpError as error:
+            context.error = error
+
+    asyncio.run(run())
+
+
+@then('the error says that nothing was sent')
+def step_unsent(context: Any) -> None:
+    assert context.error.is_unsent, context.error
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -84,6 +84,11 @@
             reuse_address=True,
         )
 
+    @property
+    def port(self) -> int:
+        """:returns: The port that it listens on."""
+        return int(self._server.sockets[0].getsockname()[1]) if self._server is not None else 0
+
     def stop(self) -> None:
         """Stop listening and close every connection."""
         if self._server is not None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -207,12 +207,6 @@
                 pooled.connection.close()
         self._close_surplus()
 
-    def close_idle(self) -> None:
-        """Close every idle connection: one got no answer, so the others are not trusted either."""
-        for pooled in self._idle:
-            pooled.connection.close()
-        self._idle.clear()
-
     @property
     def _share(self) -> ConnectionShare:
         return self._share_of()
