--- a/features/records.feature
+++ b/features/records.feature
@@ -67,3 +67,18 @@
     When the table comes back from the copy
     And another instance has known the new era for 1.3 s
     Then an answer of the earlier era is ignored
+
+  Scenario Outline: The table's clock starts anew with an era, <when>
+    Given a copy of the table
+    When it renews the lease
+    And the table comes back from the copy
+    And the table's clock jumps by <seconds> s
+    And the holder sees the new era and settles it
+    Then an instance that reads the table 0.5 s later dates lease and settlement no earlier than they were
+    When it renews the lease
+    Then an instance that reads the table 0.3 s later dates lease and settlement no earlier than they were
+
+    Examples:
+      | when | seconds |
+      | ahead of the earlier one | 5000 |
+      | behind the earlier one | -60 |
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -1,12 +1,13 @@
 """Steps that drive the system's records over a table with scripted faults."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 from behave import given, then, when
 
+from fescuequay_core.relay.lease import LEASE_S
 from fescuequay_core.relay.model import LeaseRecord, LeaderRecord, MemberRecord
 from fescuequay_core.types import Era, InstanceId, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, InstanceIdentity
@@ -28,6 +29,7 @@
         self.read_gate: asyncio.Event | None = None
         self.era = Era(0)
         self.era_after_write: Era | None = None
+        self.clock: Callable[[], float] = lambda: 0.0
 
     def come_back(self, version: int, rows: dict[str, TableRow]) -> None:
         """Begin a new era with the rows of a copy."""
@@ -41,14 +43,16 @@
         rows = tuple(self.rows.values())
         if self.read_gate is not None:
             await self.read_gate.wait()
-        return TableSnapshot(rows, 0.0, self.era)
+        return TableSnapshot(rows, self.clock(), self.era)
 
     async def commit(
         self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str] = ()
     ) -> CommitResult:
         present = {key: self.rows[key] for key in versions if key in self.rows}
         if any((present[key].version if key in present else 0) != version for key, version in versions.items()):
-            return CommitResult(is_accepted=False, version=self.version, rows_by_key=present, at_s=0.0, era=self.era)
+            return CommitResult(
+                is_accepted=False, version=self.version, rows_by_key=present, at_s=self.clock(), era=self.era
+            )
         self.version += 1
         self.rows.update({key: TableRow(key, content, self.version) for key, content in puts.items()})
         for key in deletes:
@@ -58,7 +62,7 @@
             raise TableError('no answer')
         if self.era_after_write is not None:
             self.era, self.era_after_write = self.era_after_write, None
-        return CommitResult(is_accepted=True, version=self.version, rows_by_key={}, at_s=0.0, era=self.era)
+        return CommitResult(is_accepted=True, version=self.version, rows_by_key={}, at_s=self.clock(), era=self.era)
 
 
 def _run(step: Any) -> Any:
@@ -226,11 +230,27 @@
     context.scripted.come_back(*context.copy)
 
 
+@when("the table's clock jumps by {seconds:g} s")
+def step_clock_jumps(context: Any, seconds: float) -> None:
+    context.scripted.clock = lambda: context.now + seconds
+
+
+@then('an instance that reads the table {later:g} s later dates lease and settlement no earlier than they were')
+def step_dates(context: Any, later: float) -> None:
+    renewed_at = context.now
+    context.now += later
+    reader_board = Board(InstanceIdentity(InstanceId('d'), 'd1', 'east', 'd:1'), lambda: context.now)
+    _run(Records(reader_board, context.scripted).read())
+    assert reader_board.lease.expires_at() >= renewed_at + LEASE_S, reader_board.lease.expires_at()
+    assert reader_board.lease.settled_at >= context.settled_at, reader_board.lease.settled_at
+
+
 @when('the holder sees the new era and settles it')
 def step_settle(context: Any) -> None:
     step_try_renew(context)
     context.now -= 1.0
     assert _run(context.holder.acquire_lease()), 'the era was not settled'
+    context.settled_at = context.now
 
 
 @when('another instance has known the new era for {seconds:g} s')
--- a/packages/fescuequay-core/fescuequay_core/relay/tableclock.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/tableclock.py
@@ -13,14 +13,15 @@
         self._answer: tuple[float, Instant] | None = None
         self._known_version = -1
         self._known_by_s = 0.0
-        self._settled_by_s: float | None = None
+        #: The table's clock when the present era was settled, in seconds; nothing when unknown.
+        self.settled_by_s: float | None = None
 
     def record_settlement(self, at_s: float | None) -> None:
         """Record when the present era was settled.
 
         :param at_s: The table's clock then, in seconds; nothing when unknown.
         """
-        self._settled_by_s = at_s
+        self.settled_by_s = at_s
 
     def record_answer(self, at_s: float, asked_at: Instant) -> None:
         """Record an answer of the table.
@@ -62,7 +63,7 @@
             began_by_s=began_by_s,
             known_version=self._known_version,
             known_by_s=self._known_by_s,
-            settled_by_s=self._settled_by_s,
+            settled_by_s=self.settled_by_s,
         )
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -131,6 +131,7 @@
         began_at = self._board.clock()
         # Dates an earlier holder's confirmations; one of an earlier era may have renewed its lease without being seen.
         expires_at = lease.expires_at() if known else float('inf')
+        self._renew_clock()
         if not known:
             self._clock.record_settlement(self._clock.at_s(began_at))
             # Until the outcome is known, nothing is confirmed beyond the settlement either.
@@ -279,11 +280,18 @@
         self._board.listed |= {(member.instance, member.incarnation) for member in written.members_by_id.values()}
 
     def _record_clock(self, at_s: float, asked_at: Instant) -> None:
-        """Record an answer of the table's clock, which may have started anew with an era."""
+        """Record an answer of the table's clock."""
+        self._renew_clock()
+        self._clock.record_answer(at_s, asked_at)
+        settled_at = self._board.lease.settled_at
+        if self._clock.settled_by_s is None and settled_at <= asked_at:
+            self._clock.record_settlement(at_s - (asked_at - settled_at))
+
+    def _renew_clock(self) -> None:
+        """Forget the clock of an earlier era; the table may have begun to count anew."""
         if self._clock_era != self._board.lease.era:
             self._clock = TableClock()
             self._clock_era = self._board.lease.era
-        self._clock.record_answer(at_s, asked_at)
 
     def _update_listed(self, members: Iterable[MemberRecord]) -> None:
         """Record which instances may get permits, and since when the leaving ones certainly get none."""
