--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -29,7 +29,7 @@
         self.read_gate: asyncio.Event | None = None
         self.era = Era(0)
         self.era_after_write: Era | None = None
-        self.clock: Callable[[], float] = lambda: 0.0
+        self.clock: Callable[[], float] = float
 
     def come_back(self, version: int, rows: dict[str, TableRow]) -> None:
         """Begin a new era with the rows of a copy."""
