--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -193,8 +193,8 @@
 
 
 @given(
-    '{count:d} instances in front of targets with {most:d} connections, and {organisations:d} organisations within a rate '
-    'of {rate:g}'
+    '{count:d} instances in front of targets with {most:d} connections, and {organisations:d} organisations '
+    'within a rate of {rate:g}'
 )
 def step_few_connections_and_rate(context: Any, count: int, most: int, organisations: int, rate: float) -> None:
     plan = Plan(
