Do not bind an instance to an evacuation's time while the table is disturbed

The rule binds a machine in touch only, and nobody is while the core has not been stable for its window. Change: the check leaves out the time of a fault of the table and the 4 s after it.

--- a/packages/fescuequay-emulator/fescuequay_emulator/checker.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/checker.py
@@ -103,6 +103,8 @@
         self.configurations: list[tuple[float, Configuration]] = []
         self.evacuations: list[ObservedEvacuation] = []
         self.data_centres_by_target: dict[TargetId, str] = {}
+        #: Begins and ends of times in which the table was disturbed for anybody.
+        self.table_disturbances: list[tuple[float, float]] = []
         #: Starts and resumptions of instances.
         self.disturbed: list[tuple[str, float]] = []
         self.cut_off: list[tuple[str, float, float]] = []
@@ -357,11 +359,15 @@
         )
 
     def _was_in_touch(self, execution: Execution) -> bool:
-        """:returns: Whether the instance had a path to the table, and had run for long enough to be bound by times."""
+        """Check whether the instance was bound by times.
+
+        :returns: Whether it had a path to the table and had run for long enough, before a table that was undisturbed.
+        """
+        is_table_disturbed = any(start <= execution.at <= end + _RECONNECT_S for start, end in self.table_disturbances)
         has_started = any(
             name == execution.instance and at <= execution.at <= at + _RECONNECT_S for name, at in self.disturbed
         )
-        return not has_started and not self._is_cut_off(execution)
+        return not has_started and not is_table_disturbed and not self._is_cut_off(execution)
 
     def _possible_configurations(self, at: float) -> list[tuple[float, Configuration]]:
         """:returns: The configurations that may be in force: the last one past its deadline, and all newer ones."""
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -256,14 +256,18 @@
         max_delay_s=3.0 if fault.how == 'late' else 0.0,
     )
     world.store.faults = faults
+    began_at = world.loop.time()
     await asyncio.sleep(fault.for_s)
+    world.checker.table_disturbances.append((began_at, world.loop.time()))
     if world.store.faults is faults:
         world.store.faults = StoreFaults()
 
 
 async def _restore(world: World, fault: Fault) -> None:
     """Let the table be away for ``for_s`` and come back from a copy that is ``share`` seconds old."""
+    began_at = world.loop.time()
     await world.store.restore_copy(fault.share, fault.for_s)
+    world.checker.table_disturbances.append((began_at, world.loop.time()))
 
 
 async def _evacuate(world: World, fault: Fault) -> None:
