--- a/features/drills.feature
+++ b/features/drills.feature
@@ -91,6 +91,15 @@
     When it is run
     Then no guarantee was violated
 
+  Scenario: An evacuation reaches every instance before the table falls silent
+    Given the relay scenario of seed 18
+      | at | kind | for_s | on | how | share |
+      | 1.03 | evacuate | 9.8 | 0,1,2 | - | 0.3 |
+      | 2.5 | store | 3.3 | 1 | silent | 0.23 |
+    When it is run
+    Then no guarantee was violated
+    And at least 300 operations were refused because the data centre is evacuated
+
   Scenario: All data centres of a service are evacuated, and what only they could run is refused at once
     Given the relay scenario of seed 240
       | at | kind | for_s | on | how | share |
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -15,7 +15,7 @@
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
-from fescuequay_entry.relay.followers import FEED_COUNT, RELAYED_FEED_MAX_AGE_S
+from fescuequay_entry.relay.followers import FEED_COUNT, OPERATOR_FEED, RELAYED_FEED_MAX_AGE_S
 from fescuequay_entry.relay.messages import (
     ExchangeAnswer,
     ExchangeRequest,
@@ -159,7 +159,7 @@
             samples=dict(self._position_samples(now)),
             configuration_version=board.configuration.version if board.configuration else -1,
             targets=board.targets_history.since(request.targets),
-            evacuated_s=board.evacuations.ages_s(now) if self._has_recent_feeds(now) else None,
+            evacuated=self._evacuated(now),
             feed_age_s=_rounded_age_s(self._feed_age_s(now)),
             path_age_s=_rounded_age_s(board.lease.renewal_age_s(now)),
         )
@@ -228,8 +228,12 @@
         answered_at = self._board.feed_answered_at
         return now - min(answered_at.values()) if len(answered_at) == FEED_COUNT else _NEVER_READ_AGE_S
 
-    def _has_recent_feeds(self, now: Instant) -> bool:
-        return self._board.evacuations.is_known and self._feed_age_s(now) < RELAYED_FEED_MAX_AGE_S
+    def _evacuated(self, now: Instant) -> tuple[float, dict[str, float]] | None:
+        """:returns: Age of the operators' feed, and of each evacuation; nothing if the feed is not recent."""
+        age_s = now - self._board.feed_answered_at.get(OPERATOR_FEED, float('-inf'))
+        if not self._board.evacuations.is_known or age_s >= RELAYED_FEED_MAX_AGE_S:
+            return None
+        return _rounded_age_s(age_s), self._board.evacuations.ages_s(now)
 
     def _position_samples(self, now: Instant) -> Iterator[tuple[str, PositionSample]]:
         for service in self._services():
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -31,7 +31,7 @@
 _FETCH_PAUSE_S: Final = 0.12
 
 #: Name of the operators' feed.
-_FEED_NAME: Final = 'configuration'
+OPERATOR_FEED: Final = 'configuration'
 
 _NOTHING_KNOWN: Final[Mapping[str, Instant]] = types.MappingProxyType({})
 
@@ -57,7 +57,7 @@
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
-        await FeedReader(self._board, self._feed, self._apply, _FEED_NAME, self._record_failure).run()
+        await FeedReader(self._board, self._feed, self._apply, OPERATOR_FEED, self._record_failure).run()
 
     def adopt_evacuations(self, since_by_data_centre: Mapping[str, Instant], read_at: Instant) -> None:
         """Apply the coordinator's list of evacuated data centres, unless this instance has read the feed later.
@@ -65,7 +65,7 @@
         :param since_by_data_centre: Since when the coordinator has known of each.
         :param read_at: A time at which its feed was certainly not read yet, or just then.
         """
-        if read_at < self._board.feed_answered_at.get(_FEED_NAME, float('-inf')):
+        if read_at < self._board.feed_answered_at.get(OPERATOR_FEED, float('-inf')):
             return
         self._data_centres_by_key = {name: name for name in since_by_data_centre}
         self._missing.forget()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -373,9 +373,10 @@
             self._send_news(address, News(held, board.own.peer_address))
         if answer.targets is not None:
             self._targets.adopt(answer.targets)
-        if answer.evacuated_s is not None:
+        if answer.evacuated is not None:
+            feed_age_s, ages_s = answer.evacuated
             self._configurations.adopt_evacuations(
-                {name: began_at - age_s for name, age_s in answer.evacuated_s.items()}, began_at - answer.feed_age_s
+                {name: began_at - age_s for name, age_s in ages_s.items()}, began_at - feed_age_s
             )
         if answer.feed_age_s < RELAYED_FEED_MAX_AGE_S:
             board.relayed_until = began_at + contact_timeout_s(board.member_count())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -98,8 +98,8 @@
     :param samples: Log positions of primaries, by service.
     :param configuration_version: Version that the coordinator holds; the configuration is fetched separately.
     :param targets: How the registry differs from the one that the requester knows.
-    :param evacuated_s: Seconds for which each data centre that is evacuated has been known to be; nothing if the
-        coordinator does not know.
+    :param evacuated: Seconds since the operators' feed last answered the coordinator, and for which each evacuated data
+        centre has been known to be; nothing if the coordinator does not know.
     :param feed_age_s: Seconds since both feeds, configuration and registry, last answered the coordinator.
     :param path_age_s: Seconds since the table last answered the coordinator, which shows a path out of its data centre.
     """
@@ -114,7 +114,7 @@
     samples: dict[str, PositionSample] = dataclasses.field(default_factory=dict)
     configuration_version: int = -1
     targets: Difference[TargetDescription] | None = None
-    evacuated_s: dict[str, float] | None = None
+    evacuated: tuple[float, dict[str, float]] | None = None
     feed_age_s: float = 1e6
     path_age_s: float = 0.0
 
