--- a/features/drills.feature
+++ b/features/drills.feature
@@ -77,10 +77,14 @@
       | without primaries | 232 | 1 | 1 | compact | 1 | 0 | - | 0 | 99 | 1 |
       | together with another one | 233 | 0,1 | 1 | compact | 1 | 0 | - | 0 | 99 | 1.5 |
       | while its primary changes | 234 | 2 | 1.5 | crash_primary | 5 | 0 | dark | 0 | 85 | 5 |
-      | while the table comes back from a copy | 235 | 0 | 3.2 | restore | 1 | 0 | - | 3 | 90 | 6 |
       | while it is cut off | 236 | 0 | 2 | cut_zone | 5 | 0 | - | 0 | 70 | 6 |
       | while an instance restarts | 237 | 0 | 5 | kill | 2 | 1 | - | 0 | 85 | 3 |
 
+    @known-red
+    Examples:
+      | case | seed | on | at | kind | for_s | other | how | share | served | gap |
+      | while the table comes back from a copy | 235 | 0 | 3.2 | restore | 1 | 0 | - | 3 | 95 | 3 |
+
   Scenario: An evacuation that follows a drill is not lifted by a coordinator that has not heard of it
     Given the relay scenario of seed 78
       | at | kind | for_s | on | how | share |
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -15,7 +15,7 @@
 #: Interval at which readiness is recorded, in seconds.
 _CHECK_INTERVAL_S: Final = 0.05
 
-#: Mean share of the time for which instances that are cut off may ask for callers after they were first unready.
+#: Share of the time for which an instance that is cut off may ask for callers after it was first unready.
 _MAX_READY_SHARE: Final = 0.1
 
 
@@ -61,13 +61,11 @@
 
 @then('they are unready within {limit:g} s and ask for hardly any callers afterwards')
 def step_unready(context: Any, limit: float) -> None:
-    shares = []
     for name in context.cut:
         times = context.unready_times[name]
         assert times and times[0] <= limit, (name, times[:1])
-        shares.append(len(times) * _CHECK_INTERVAL_S / (context.seconds - times[0]))
-    # The probes are drawn at random, so one instance may be ready for longer than the others.
-    assert sum(shares) / len(shares) >= 1 - _MAX_READY_SHARE, shares
+        expected = (context.seconds - times[0]) / _CHECK_INTERVAL_S
+        assert len(times) >= expected * (1 - _MAX_READY_SHARE) - 1, (name, len(times), expected)
 
 
 @then('no other instance is unready')
