Agree on the interfaces of connections, waiting lines and paces

Cause: the parts for the two new deployments meet at the pool of a target, which ordered its own waiting statements and knew no other source of connections. Measured: types, linter, policies.feature and relay.feature pass.

--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -13,6 +13,7 @@
 from fescuequay_core.relay.model import DatabaseName, MemberRecord, OrganisationPolicy
 from fescuequay_core.relay.intervals import contact_timeout_s, exchange_interval_s
 from fescuequay_core.relay.tokenpool import TokenPool, Tolerance, TokenRequest
+from fescuequay_core.relay.waiting import WaitingStatement
 from fescuequay_core.types import InstanceId, LeaderState, OrganisationId, ServiceId
 from fescuequay_emulator.callers import Session, StatementOutcome
 from fescuequay_emulator.load import read, write
@@ -151,7 +152,8 @@
         target.is_silent = True
         connections = instance._pools.pool_of(target.description)
         try:
-            await connections.acquire(OrganisationId('o0'), 0, world.loop.time() + ms / 1000)
+            now = world.loop.time()
+            await connections.acquire(WaitingStatement(OrganisationId('o0'), 0, now, now, now + ms / 1000))
         except TargetLost:
             context.is_usable = instance.board.health_of(target.description).is_usable(world.loop.time())
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
@@ -6,6 +6,7 @@
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.model import LeaderRecord, LogPosition, Route, TargetDescription
 from fescuequay_core.relay.refusals import Refused
+from fescuequay_core.relay.waiting import WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, Verdict
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.pool import PooledConnection
@@ -39,6 +40,16 @@
         """:returns: When the time limit of its current statement ends."""
         return self.began_at + self.route.timeout_s
 
+    def waiting_statement(self, until: Instant) -> WaitingStatement:
+        """Describe its current statement while it waits for a connection.
+
+        :param until: When it must have got one.
+        :returns: The statement.
+        """
+        return WaitingStatement(
+            self.organisation, self.route.priority, self.began_at, self.began_at + self.route.aim_s, until
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -1,13 +1,15 @@
 """Connection pools of the targets: few connections, shared by many sessions, each for one organisation."""
 
+import abc
 import asyncio
 import dataclasses
-import itertools
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from fescuequay_core.relay.model import TargetDescription
+from fescuequay_core.relay.pace import Pace, Unpaced
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
+from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
@@ -63,7 +65,7 @@
     :param connection: The connection.
     :param target: Its target.
     :param organisation: Organisation on whose behalf it was opened.
-    :param pool: Pool that it is released to.
+    :param source: What it is released to.
     :param values: Session values that are set on it.
     :param names_by_shape: Names of the statements prepared on it, by shape and whether they write.
     :param used_at: When it was last released.
@@ -72,7 +74,7 @@
     connection: TargetConnection
     target: TargetDescription
     organisation: OrganisationId
-    pool: 'TargetPool'
+    source: 'ConnectionSource'
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     names_by_shape: dict[tuple[str, bool], str] = dataclasses.field(default_factory=dict)
     used_at: float = 0.0
@@ -117,32 +119,90 @@
             raise TargetLost(f'the target refused session state: {outcome.fault.detail}')
 
 
-class TargetPool:
-    """Connections to one incarnation of a target, and the queue of statements that wait for one.
+class ConnectionSource(abc.ABC):
+    """Where statements get connections to one incarnation of a target.
+
+    :param target: The target.
+    """
+
+    def __init__(self, target: TargetDescription) -> None:
+        self.target = target
+
+    @abc.abstractmethod
+    def available(self) -> int:
+        """:returns: Number of connections that are idle or may be opened."""
+
+    @abc.abstractmethod
+    def has_idle(self, organisation: OrganisationId) -> bool:
+        """:returns: Whether there is an idle connection of an organisation."""
+
+    @abc.abstractmethod
+    def waiting(self) -> int:
+        """:returns: Number of statements that wait for a connection."""
+
+    @abc.abstractmethod
+    async def acquire(self, statement: WaitingStatement) -> PooledConnection:
+        """Acquire a connection for a statement.
+
+        :param statement: The statement.
+        :returns: The connection; it must be released.
+        :raises Refused: No connection became available in time; nothing has run.
+        :raises TargetLost: The target can't be reached.
+        """
+
+    @abc.abstractmethod
+    def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
+        """Release a connection.
+
+        :param pooled: The connection.
+        :param is_clean: Whether it has no open transaction and no outstanding answer; otherwise it is closed.
+        """
+
+    @abc.abstractmethod
+    def sweep(self) -> None:
+        """Close connections that are no longer needed."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the idle connections; those in use are closed when they are released."""
+
+
+class TargetPool(ConnectionSource):
+    """This instance's own connections to a target, and the statements that wait for one.
 
     :param board: Shared state of the instance.
     :param driver: Opens connections.
     :param target: The target.
     :param share_of: Returns this instance's share of the target's connections.
+    :param line: Order of the waiting statements; by priority and arrival by default.
+    :param pace: Limit of the statements at the target; none by default.
     """
 
     def __init__(
-        self, board: Board, driver: TargetDriver, target: TargetDescription, share_of: Callable[[], ConnectionShare]
+        self,
+        board: Board,
+        driver: TargetDriver,
+        target: TargetDescription,
+        share_of: Callable[[], ConnectionShare],
+        line: WaitingLine | None = None,
+        pace: Pace | None = None,
     ) -> None:
-        self.target = target
+        super().__init__(target)
         self._board = board
         self._driver = driver
         self._share_of = share_of
         self._idle: list[PooledConnection] = []
         self._held = 0
-        self._sequence = itertools.count()
-        self._waiters: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._line = ArrivalLine() if line is None else line
+        self.pace = Unpaced() if pace is None else pace
+        self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
-        return max(self._share.max_open - self._held, 0)
+        limit = min(self._share.max_open, self.pace.limit(self._board.clock()))
+        return max(int(limit) - self._held, 0)
 
     def has_idle(self, organisation: OrganisationId) -> bool:
         """:returns: Whether there is an idle connection of an organisation."""
@@ -150,38 +210,26 @@
 
     def waiting(self) -> int:
         """:returns: Number of statements that wait for a connection."""
-        return len(self._waiters)
+        return len(self._line)
 
     def open_count(self) -> int:
         """:returns: Number of open connections."""
         return self._held + len(self._idle)
 
-    async def acquire(self, organisation: OrganisationId, priority: int, until: float) -> PooledConnection:
-        """Acquire a connection, in the order of priority and arrival.
-
-        :param organisation: Organisation that it must belong to.
-        :param priority: Priority of the statement; 0 is the highest.
-        :param until: When to give up.
-        :returns: The connection; it must be released.
-        :raises Refused: No connection became available in time; nothing has run.
-        :raises TargetLost: The target can't be reached.
-        """
-        if self.available() == 0 or self._waiters:
-            await self._wait(priority, until)
+    async def acquire(self, statement: WaitingStatement) -> PooledConnection:
+        """Acquire a connection, in the order of the waiting line."""
+        if self.available() == 0 or len(self._line):
+            await self._wait(statement)
         self._held += 1
         try:
-            return self._take_idle(organisation) or await self._open(organisation, until)
+            return self._take_idle(statement.organisation) or await self._open(statement.organisation, statement.until)
         except BaseException:
             self._held -= 1
             self._wake_waiters()
             raise
 
     def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
-        """Release a connection.
-
-        :param pooled: The connection.
-        :param is_clean: Whether it has no open transaction and no outstanding answer; otherwise it is closed.
-        """
+        """Release a connection; one that is not clean is closed."""
         self._held -= 1
         if is_clean and pooled.connection.is_open and not self.is_closed and self._may_keep():
             pooled.used_at = self._board.clock()
@@ -223,29 +271,31 @@
         while self._idle and self.open_count() > self._share.max_kept:
             self._idle.pop(0).connection.close()
 
-    async def _wait(self, priority: int, until: float) -> None:
+    async def _wait(self, statement: WaitingStatement) -> None:
         now = self._board.clock()
-        waiter = asyncio.get_running_loop().create_future()
-        entry = (priority, next(self._sequence), waiter)
-        self._waiters.append(entry)
-        self._waiters.sort(key=lambda other: other[:2])
+        waker = asyncio.get_running_loop().create_future()
+        self._line.add(statement, now)
+        self._wakers_by_statement[statement] = waker
         try:
-            await asyncio.wait_for(waiter, max(until - now, 0))
+            await asyncio.wait_for(waker, max(statement.until - now, 0))
         except TimeoutError:
             raise Refused(
-                QUEUE_FULL, f'no connection to {self.target.target} became free in {until - now:.2f} s', _RETRY_AFTER_S
+                QUEUE_FULL,
+                f'no connection to {self.target.target} became free in {statement.until - now:.2f} s',
+                _RETRY_AFTER_S,
             ) from None
         finally:
-            if entry in self._waiters:
-                self._waiters.remove(entry)
+            self._line.remove(statement)
+            self._wakers_by_statement.pop(statement)
 
     def _wake_waiters(self) -> None:
         free = self.available()
-        for _, _, waiter in self._waiters:
+        for statement in self._line.in_order(self._board.clock()):
             if free <= 0:
                 return
-            if not waiter.done():
-                waiter.set_result(None)
+            waker = self._wakers_by_statement[statement]
+            if not waker.done():
+                waker.set_result(None)
                 free -= 1
 
     def _take_idle(self, organisation: OrganisationId) -> PooledConnection | None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -82,7 +82,7 @@
 
     def release(self, placement: Placement, *, is_clean: bool) -> None:
         """Return a connection to its pool."""
-        placement.pooled.pool.release(placement.pooled, is_clean=is_clean)
+        placement.pooled.source.release(placement.pooled, is_clean=is_clean)
 
     def roll_back_and_release(self, placement: Placement) -> None:
         """Roll back the open transaction in the background and return the connection to its pool."""
@@ -361,7 +361,7 @@
         acquire_until = max(operation.began_at + operation.route.aim_s, self._board.clock() + operation.route.aim_s / 2)
         until = self._board.may_wait_until(min(operation.until, acquire_until))
         try:
-            pooled = await pool.acquire(operation.organisation, operation.route.priority, until)
+            pooled = await pool.acquire(operation.waiting_statement(until))
         except TargetLost:
             tried.add(target.target)
             return None
