--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -226,6 +226,10 @@
         """:returns: The lines that the instance has written."""
         return self._output.read_text().splitlines()
 
+    def logs(self) -> dict[str, str]:
+        """:returns: What the instance has written, by its name."""
+        return {'front-1': self._output.read_text()} if self._process is not None else {}
+
     def stop(self) -> int:
         """:returns: Exit code of the instance after SIGTERM."""
         assert self._process is not None
--- a/features/world.py
+++ b/features/world.py
@@ -93,6 +93,12 @@
         body = {'sql': sql, 'params': list(params), **options.pop('extra', {})}
         return self.call(instance, f'{route}/statements', body, **options)
 
+    def logs(self) -> dict[str, str]:
+        """:returns: What the instances have logged, and every reply, by name."""
+        logs_by_name = {name: ''.join(instance.log) for name, instance in self.fleet.instances_by_name.items()}
+        replies = [f'{reply.status} {reply.plain} {dict(reply.headers)}\n' for reply in self.replies]
+        return {**logs_by_name, 'replies': ''.join(replies)}
+
     def close(self) -> None:
         """Stop the fleet and the loop."""
         self.run(self._close())
--- a/lab/figures.py
+++ b/lab/figures.py
@@ -1,16 +1,15 @@
 """Computes the users' four measures from the operations of a run."""
 
 import collections
+import math
 from collections.abc import Iterable
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
-
 from features.checker import History, Limit, Write, violations
 from fescuequay_core.types import Verdict
 from lab.workload import Op
 
-_MICROSECONDS = 1_000_000
+_MS_PER_S = 1000
 
 
 def replica_share(ops: Iterable[Op]) -> float:
@@ -69,11 +68,13 @@
 
 def percentiles(ops: Iterable[Op]) -> dict[str, float]:
     """:returns: Latency in ms by percentile, measured from when each request was due."""
-    histogram = HdrHistogram(1, 60 * _MICROSECONDS, 3)
-    for op in ops:
-        if op.status == 200:
-            histogram.record_value(max(int(op.took_s * _MICROSECONDS), 1))
-    return {f'p{mark}': histogram.get_value_at_percentile(mark) / 1000 for mark in (50, 90, 99, 99.9)}
+    took_ms = sorted(op.took_s * _MS_PER_S for op in ops if op.status == 200)
+    return {f'p{mark}': _nearest_rank(took_ms, mark) for mark in (50, 90, 99, 99.9)}
+
+
+def _nearest_rank(ordered: list[float], percentile: float) -> float:
+    """:returns: The smallest value that at least this percentage of the values doesn't exceed; 0 without values."""
+    return ordered[math.ceil(len(ordered) * percentile / 100) - 1] if ordered else 0.0
 
 
 def find_violations(ops: list[Op], stored_rows: list[str]) -> list[str]:
