--- a/features/install.feature
+++ b/features/install.feature
@@ -23,6 +23,6 @@
 
     Examples:
       | output | line |
-      | Collecting a/ERROR: Could not find a version that satisfies the requirement nothing==1 (from versions: none)/ERROR: No matching distribution found for nothing==1 | nothing==1: Could not find a version that satisfies the requirement nothing==1 (from versions: none) |
+      | Collecting a/ERROR: Ignored the following versions that require a different python version: 4.0.0/ERROR: Could not find a version that satisfies the requirement nothing==1 (from versions: none)/ERROR: No matching distribution found for nothing==1 | nothing==1: Could not find a version that satisfies the requirement nothing==1 (from versions: none) |
       | Building wheels/  error: subprocess-exited-with-error/  CMake Error at CMakeLists.txt: CMake 3.16 or higher is required/  ERROR: Failed building wheel for z3-solver/Failed to build z3-solver | z3-solver: CMake 3.16 or higher is required |
       | something else | something else |
--- a/lab/install.py
+++ b/lab/install.py
@@ -25,7 +25,13 @@
 )
 
 #: Reasons that only repeat that something failed; another line says why.
-_EMPTY_REASONS: Final = ('subprocess-exited-with-error', 'Failed building wheel', 'Failed to build', 'No matching')
+_EMPTY_REASONS: Final = (
+    'subprocess-exited-with-error',
+    'Failed building wheel',
+    'Failed to build',
+    'No matching',
+    'Ignored',
+)
 
 
 class InstallError(Exception):
