Tell a full target from a silent one, and keep connections whose opening has begun

A queue at the target makes opening slow; the attempt was given up after what was left of a statement's time, 0.02 s at the least, although the target still did the work; what waited 0.2 s counted as silence, so that every instance paused the target for 0.25 to 2 s and the rest of the load went to the next one, until all were paused. Change: an opening is an attempt of its own (opening.py). It ends early only if nothing accepts the connection; one that is accepted has 0.6 s and goes on when its statement gives up, and its connection is kept for the next one. A slow opening raises the target's expected time and pauses nothing. If every target of a service is paused, reads still go to those that accept connections. A statement that finds no connection is refused after its share of the time limit instead of trying every 20 ms. Measured: policies, relay, decisions, fleetwide and guards pass.

--- a/packages/fescuequay-core/fescuequay_core/relay/health.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/health.py
@@ -37,6 +37,8 @@
     :param failing_since: Since when it has not answered: start of the first failed attempt after its latest answer.
     :param failures: Failures in a row.
     :param is_refusing: Whether the latest failure was a refused connection.
+    :param is_silent: Whether the latest failure gave no sign that anything runs there: a target that accepts
+        connections is slow or full, and reads may still go there when nothing else is left.
     :param paused_until: Until when no statement goes there.
     :param behind_until: Until when reads that may go elsewhere avoid it.
     :param answered_at: When it last answered anything.
@@ -50,6 +52,7 @@
     failing_since: Instant | None = None
     failures: int = 0
     is_refusing: bool = False
+    is_silent: bool = False
     paused_until: Instant = float('-inf')
     behind_until: Instant = float('-inf')
     answered_at: Instant = float('-inf')
@@ -69,6 +72,7 @@
         self.failing_since = None
         self.failures = 0
         self.is_refusing = False
+        self.is_silent = False
         self.answered_at = now
         if took_s is not None:
             self.statement_s += _TIME_WEIGHT * (took_s - self.statement_s)
@@ -88,12 +92,25 @@
         self.record_answer(now)
         self.connect_s += _TIME_WEIGHT * (took_s - self.connect_s)
 
-    def record_failure(self, began_at: Instant, now: Instant, *, is_refusal: bool) -> None:
+    def record_slow_opening(self, began_at: Instant, now: Instant) -> None:
+        """Record that a connection that the target has accepted is still not open.
+
+        It is no reason to pause: a full target opens connections late, and would be taken for a silent one.
+
+        :param began_at: When the attempt began.
+        :param now: Present time.
+        """
+        self.connect_s = max(self.connect_s, now - began_at)
+        if began_at >= self.answered_at and self.failing_since is None:
+            self.failing_since = began_at
+
+    def record_failure(self, began_at: Instant, now: Instant, *, is_refusal: bool, is_accepted: bool = False) -> None:
         """Record a lost or refused connection, or a timeout.
 
         :param began_at: When the attempt began.
         :param now: Present time.
         :param is_refusal: Whether the connection was refused, so that no process listens there.
+        :param is_accepted: Whether the target accepted the connection and did not open it in time.
         """
         if began_at < self.answered_at and not is_refusal:
             return
@@ -101,6 +118,7 @@
         self.failing_since = began_at if self.failing_since is None else self.failing_since
         self.failures += 1
         self.is_refusing = is_refusal
+        self.is_silent = not is_accepted
         pause_s = min(_FIRST_PAUSE_S * 2 ** (self.failures - 1), _LONGEST_PAUSE_S)
         self.paused_until = max(self.paused_until, now + pause_s)
 
--- a/packages/fescuequay-core/fescuequay_core/relay/placement.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/placement.py
@@ -81,3 +81,17 @@
 def exclude_tried(candidates: Iterable[Candidate], tried: frozenset[TargetId]) -> Iterator[Candidate]:
     """:returns: The candidates that have not been tried for this statement."""
     return (candidate for candidate in candidates if candidate.target.target not in tried)
+
+
+def exclude_silent(candidates: Iterable[Candidate], now: Instant) -> Iterator[Candidate]:
+    """Leave out the targets that are paused, but not the last ones that accept connections.
+
+    Under overload every target opens connections late. Were all of them paused at once, nothing would be left.
+
+    :param candidates: Targets that may run a read.
+    :param now: Present time.
+    :returns: Those that are not paused; if there are none, those that are slow rather than silent.
+    """
+    remaining = tuple(candidates)
+    usable = tuple(candidate for candidate in remaining if candidate.health.is_usable(now))
+    yield from usable or (candidate for candidate in remaining if not candidate.health.is_silent)
--- a/packages/fescuequay-emulator/fescuequay_emulator/connections.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/connections.py
@@ -17,7 +17,7 @@
 from fescuequay_core.types import OrganisationId, RequestId, Role, Term
 from fescuequay_emulator.network import Network
 from fescuequay_emulator.targets import Execution, ModelTarget
-from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost, ignore_acceptance
 
 
 class ModelConnection(TargetConnection):
@@ -255,7 +255,12 @@
         self._targets_by_address = targets_by_address
         self._caller = caller
 
-    async def connect(self, target: TargetDescription, organisation: OrganisationId) -> TargetConnection:
+    async def connect(
+        self,
+        target: TargetDescription,
+        organisation: OrganisationId,
+        on_accepted: Callable[[], None] = ignore_acceptance,
+    ) -> TargetConnection:
         """Open a connection.
 
         :raises TargetLost: Nothing listens at the address, or the connection was refused.
@@ -275,6 +280,7 @@
             if len(found.connections) >= found.max_connections:
                 found.rejected_connections += 1
                 raise Refused(refusals.TOO_MANY)
+            on_accepted()
             await found.occupy_slot_to_connect()
             await self._network.transmit(found.name, self._caller)
         except ConnectionRefusedError as error:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -11,7 +11,8 @@
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import OrganisationId, TargetId
-from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.board import Board
+from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 
 #: Connections of each target that are left free for status requests, promotions and newly started instances.
@@ -20,15 +21,6 @@
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
 
-#: Timeout for opening a connection, in seconds; a target that needs longer would answer no statement in time either.
-CONNECT_TIMEOUT_S: Final = 0.6
-
-#: Least timeout for opening a connection whose expiry is recorded as a failure of the target, in seconds.
-SILENT_CONNECT_WAIT_S: Final = 0.2
-
-#: Lower bound of the timeout for opening a connection, in seconds.
-_MIN_CONNECT_TIMEOUT_S: Final = 0.02
-
 #: Time for which no connection is opened to a target that had none left, in seconds: each attempt costs the target
 #: time.
 _FULL_TARGET_PAUSE_S: Final = 0.15
@@ -198,6 +190,7 @@
         self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
+        self._openings: set[asyncio.Task[PooledConnection]] = set()
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
@@ -312,28 +305,42 @@
             raise Refused(TARGET_BUSY, f'{self.target.target} had no connection left', _RETRY_AFTER_S)
         if self._idle and self.open_count() > self._share.max_kept:
             self._idle.pop(0).connection.close()
+        opening = asyncio.ensure_future(self._connect(organisation))
+        self._openings.add(opening)
+        opening.add_done_callback(self._openings.discard)
         began_at = self._board.clock()
-        health = self._board.health_of(self.target)
-        limit_s = min(CONNECT_TIMEOUT_S, max(until - began_at, _MIN_CONNECT_TIMEOUT_S))
         try:
-            connection = await asyncio.wait_for(self._driver.connect(self.target, organisation), limit_s)
-        except TimeoutError:
-            if limit_s >= SILENT_CONNECT_WAIT_S:
-                # A shorter timeout reflects the time left to the statement and says nothing about the target.
-                health.record_failure(began_at, self._board.clock(), is_refusal=False)
-            log_event('target_silent', target=self.target.target, waited_s=round(limit_s, 3), step='connect')
-            raise TargetLost(f'{self.target.target} did not accept a connection in {limit_s:.2f} s') from None
-        except TargetLost as error:
-            health.record_failure(began_at, self._board.clock(), is_refusal=error.is_refusal)
-            log_event('target_unreachable', target=self.target.target, detail=str(error), step='connect')
-            raise
+            await asyncio.wait({opening}, timeout=max(until - began_at, 0))
+        finally:
+            if not opening.done():
+                # The target is working on it already: the connection is kept for the next statement.
+                self._held += 1
+                opening.add_done_callback(self._keep_late)
+        if opening.done():
+            return opening.result()
+        raise TargetLost(f'{self.target.target} did not open a connection in {self._board.clock() - began_at:.2f} s')
+
+    def _keep_late(self, opening: asyncio.Task[PooledConnection]) -> None:
+        """Keep a connection that was opened after its statement had given up."""
+        self._held -= 1
+        if not opening.cancelled() and opening.exception() is None:
+            pooled = opening.result()
+            if self.is_closed:
+                pooled.connection.close()
+            else:
+                pooled.used_at = self._board.clock()
+                self._idle.append(pooled)
+        self._wake_waiters()
+
+    async def _connect(self, organisation: OrganisationId) -> PooledConnection:
+        try:
+            connection = await Opening(self._board, self._driver, self.target).run(organisation)
         except Refused as refusal:
-            health.record_answer(self._board.clock())
             if refusal.reason.kind in {RefusalKind.TOO_MANY_CONNECTIONS, RefusalKind.OVERLOADED}:
                 self._full_until = self._board.clock() + _FULL_TARGET_PAUSE_S
+                self.pace.record_overload(self._board.clock())
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_AFTER_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
-        health.record_connection(self._board.clock(), self._board.clock() - began_at)
         return PooledConnection(connection, self.target, organisation, self)
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -287,15 +287,26 @@
         """End the connection at once; the target rolls back what is open."""
 
 
+def ignore_acceptance() -> None:
+    """Do nothing when a target accepts a connection."""
+
+
 class TargetDriver(abc.ABC):
     """Opens connections to targets."""
 
     @abc.abstractmethod
-    async def connect(self, target: TargetDescription, organisation: OrganisationId) -> TargetConnection:
+    async def connect(
+        self,
+        target: TargetDescription,
+        organisation: OrganisationId,
+        on_accepted: Callable[[], None] = ignore_acceptance,
+    ) -> TargetConnection:
         """Open a connection that names the intended target.
 
         :param target: The target.
         :param organisation: Organisation on whose behalf statements will run.
+        :param on_accepted: Called when something at the target's address has accepted the connection, before the target
+            has opened it: a full target accepts at once and opens late, a silent one does neither.
         :raises TargetLost: The connection could not be opened.
         :raises Refused: The target refused it; nothing has run.
         """
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -362,8 +362,10 @@
         until = self._board.may_wait_until(min(operation.until, acquire_until))
         try:
             pooled = await pool.acquire(operation.waiting_statement(until))
-        except TargetLost:
+        except TargetLost as error:
             tried.add(target.target)
+            if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
+                raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
             return None
         except Refused as refusal:
             tried.add(target.target)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -141,14 +141,14 @@
         candidates = []
         for target, is_primary in self._board.read_targets_of(operation.route.service):
             health = self._board.health_of(target)
-            if (is_primary or required is not None) and health.is_usable(now):
+            if is_primary or required is not None:
                 pool = self._pools.pool_of(target)
                 has_idle = pool.has_idle(operation.organisation)
                 candidates.append(
                     placement.Candidate(target, health, pool.available(), pool.waiting(), is_primary, has_idle)
                 )
         is_replicated = required is not None and now - required[1] >= placement.REPLICATION_DELAY_S
-        untried = placement.exclude_tried(candidates, frozenset(tried))
+        untried = placement.exclude_tried(placement.exclude_silent(candidates, now), frozenset(tried))
         best = next(placement.rank(untried, self._board.own.data_centre, now, is_replicated=is_replicated), None)
         leader = self._board.leader(operation.route.service)
         if best is None or (best.is_primary and leader is None):
