Let old and new builds compare lists, announce what they read, and test a roll in both directions

Cause: digests of lists were taken from all fields of the items, so that a new field would have made builds send each other whole lists in each exchange; nothing tested builds side by side. Found on the way: the soak's caller sent statements on sessions that the instance had closed as idle, and reported them as unanswered at a SIGTERM; with faults at all times the check hardly ever applied, and the new test met it in each stop (the instances' logs hold none of these requests).

The caller looks whether its session has ended before it sends.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -67,11 +67,7 @@
 
     async def run(self) -> None:
         """Run the instances, callers and faults, and kill every process at the end."""
-        for service in self._services:
-            await service.start()
-        await self._platform.start()
-        self._platform.put('op', 'config', _configuration(self._services))
-        self._processes = [Process(f'n{number}', self._platform, self.folder) for number in range(self._count)]
+        await self._start_platform()
         for process in self._processes:
             await process.prepare()
             await process.start()
@@ -88,6 +84,13 @@
         if time.monotonic() - self.history.last_served_at > _FAULT_FREE_S / 2:
             self.history.violations.append('RECOVER: nothing was served at the end')
 
+    async def _start_platform(self) -> None:
+        for service in self._services:
+            await service.start()
+        await self._platform.start()
+        self._platform.put('op', 'config', _configuration(self._services))
+        self._processes = [Process(f'n{number}', self._platform, self.folder) for number in range(self._count)]
+
     def _callers(self) -> list[Caller]:
         return [
             Caller(number, self._services[number % 2].name, self.history, self._processes, self._rng)
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -16,6 +16,9 @@
 #: Mean pause between two statements of a session, in seconds.
 _MEAN_INTERVAL_S: Final = 0.05
 
+#: Passes of the event loop after which an end of the connection that the kernel has received is known.
+_PASSES_OF_LOOP: Final = 2
+
 #: Fraction of the statements that write.
 _WRITE_FRACTION: Final = 0.4
 
@@ -45,17 +48,20 @@
 
     async def run(self) -> None:
         """Send statements until cancelled."""
-        while True:
-            await asyncio.sleep(self._rng.expovariate(1 / _MEAN_INTERVAL_S))
-            try:
-                if self._writer is None and not await self._open():
-                    continue
-                if self._rng.random() < _WRITE_FRACTION:
-                    await self._write()
-                else:
-                    await self._read()
-            except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
-                self._close()
+        try:
+            while True:
+                await asyncio.sleep(self._rng.expovariate(1 / _MEAN_INTERVAL_S))
+                try:
+                    if self._writer is None and not await self._open():
+                        continue
+                    if self._rng.random() < _WRITE_FRACTION:
+                        await self._write()
+                    else:
+                        await self._read()
+                except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
+                    self._close()
+        finally:
+            self._close()
 
     def _close(self) -> None:
         if self._writer is not None:
@@ -97,6 +103,7 @@
     async def _request(self, line: str, request: str = '-') -> list[str]:
         """:returns: The lines of the answer. :raises ConnectionError, TimeoutError: No answer came."""
         assert self._writer is not None and self._reader is not None and self._process is not None
+        await self._notice_end()
         self._writer.write(f'{line}\r\n'.encode())
         answers: list[str] = []
         async with asyncio.timeout(_ANSWER_TIMEOUT_S):
@@ -106,6 +113,17 @@
                     break
         return answers
 
+    async def _notice_end(self) -> None:
+        """Notice that the instance has closed the idle session: a request that it never reads is not unanswered.
+
+        :raises ConnectionResetError: It has.
+        """
+        assert self._reader is not None
+        for _ in range(_PASSES_OF_LOOP):
+            await asyncio.sleep(0)
+        if self._reader.at_eof():
+            raise ConnectionResetError
+
     async def _read_line(self, request: str) -> str:
         assert self._reader is not None and self._process is not None
         raw = await self._reader.readline()
--- a/features/soak/instances.py
+++ b/features/soak/instances.py
@@ -46,6 +46,8 @@
         self.is_ready = False
         self.is_stopping = False
         self.last_fault_at = float('-inf')
+        #: Checkout whose build is started next.
+        self.checkout = _ROOT
         self.proxy = Proxy(platform.port)
         self._platform = platform
         self._folder = folder
@@ -79,7 +81,7 @@
         environment = {**os.environ, 'FESCUEQUAY_CONFIG': str(self._folder / f'{self.name}.jsonc')}
         with (self._folder / f'{self.name}.log').open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, str(_ROOT / 'deploy/fescuequayd.py'), env=environment, stdout=log, stderr=log
+                sys.executable, str(self.checkout / 'deploy/fescuequayd.py'), env=environment, stdout=log, stderr=log
             )
         self.is_stopping = False
 
--- a/features/world.py
+++ b/features/world.py
@@ -14,6 +14,9 @@
 #: Longest time that one call on the loop may take, in seconds.
 _STEP_TIMEOUT_S = 40
 
+#: Longest wait for the state of an instance after a failure.
+_STATUS_TIMEOUT = aiohttp.ClientTimeout(total=2)
+
 
 class Reply:
     """One HTTP response."""
@@ -97,7 +100,20 @@
         """:returns: What the instances have logged, and every reply, by name."""
         logs_by_name = {name: ''.join(instance.log) for name, instance in self.fleet.instances_by_name.items()}
         replies = [f'{reply.status} {reply.plain} {dict(reply.headers)}\n' for reply in self.replies]
-        return {**logs_by_name, 'replies': ''.join(replies)}
+        return {**logs_by_name, 'replies': ''.join(replies), 'status': self.run(self._states())}
+
+    async def _states(self) -> str:
+        states = []
+        for instance in self.fleet.instances_by_name.values():
+            try:
+                async with self.http.get(f'http://{instance.peers}/status', timeout=_STATUS_TIMEOUT) as answer:
+                    states.append(f'{instance.name} {await answer.text()}\n')
+            except (aiohttp.ClientError, TimeoutError) as error:
+                states.append(f'{instance.name} {error!r}\n')
+        for group in self.fleet.groups_by_id.values():
+            for name in group.members_by_name:
+                states.extend(f'{name} {entry}\n' for entry in await self.operations.explain(name))
+        return ''.join(states)
 
     def close(self) -> None:
         """Stop the fleet and the loop."""
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -233,6 +233,7 @@
     :param data_centre: Where it runs.
     :param is_leaving: Whether it gets no more permits until it registers again; its row may be removed once
         those that it may still hold have expired.
+    :param reads: Newest format of lists that its build reads.
     """
 
     instance: InstanceId
@@ -240,6 +241,7 @@
     address: str
     data_centre: str
     is_leaving: bool = False
+    reads: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -8,6 +8,7 @@
 
 from reactivex.subject import Subject
 
+from fescuequay_core.relay import formats
 from fescuequay_core.relay.buckets import Buckets
 from fescuequay_core.relay.evacuation import Evacuations
 from fescuequay_core.relay.freshness import Samples
@@ -46,6 +47,10 @@
     data_centre: str
     peer_address: str
 
+    def member(self) -> MemberRecord:
+        """:returns: How the instance describes itself to the others."""
+        return MemberRecord(self.instance, self.incarnation, self.peer_address, self.data_centre, reads=formats.READS)
+
 
 class Board:
     """State shared by the controllers.
@@ -78,8 +83,8 @@
         self.relayed_until: Instant = float('-inf')
         self.members_by_id: dict[InstanceId, MemberRecord] = {}
         # The list as instances send it to each other; a new incarnation at the same address is not a change.
-        self.members_history: History[InstanceId, MemberRecord] = History()
-        self.targets_history: History[TargetId, TargetDescription] = History()
+        self.members_history: History[InstanceId, MemberRecord] = History(formats.MEMBER_FORMATS)
+        self.targets_history: History[TargetId, TargetDescription] = History(formats.TARGET_FORMATS)
         self.listed: frozenset[tuple[InstanceId, str]] = frozenset()
         self.permits = Permits()
         self.confirmations = Confirmations()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine, Iterator, Mapping
 from typing import Any, Final
 
-from fescuequay_core.relay import settlement
+from fescuequay_core.relay import formats, settlement
 from fescuequay_core.relay.failure_detector import Observation, PeerReport, PrimaryStatus, evaluate
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.intervals import contact_timeout_s, exchange_interval_s
@@ -162,6 +162,7 @@
             evacuated=self._evacuated(now),
             feed_age_s=_rounded_age_s(self._feed_age_s(now)),
             path_age_s=_rounded_age_s(board.lease.renewal_age_s(now)),
+            reads=formats.READS,
         )
 
     def confirm_records(self, now: Instant) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -96,6 +96,9 @@
         self._others_answered_at: Instant = board.clock()
         self._reach = Reach()
         self._tasks: set[asyncio.Task[None]] = set()
+        # The coordinator that answered last, and the newest format of lists that it reads.
+        self._reader_address = ''
+        self._reads = 1
 
     async def run(self) -> None:
         """Run rounds, path checks and the token supply until cancelled."""
@@ -313,7 +316,7 @@
         began_at = self._board.clock()
         token_request = None if is_probe else self._supply.delegate_share(address, began_at)
         try:
-            answer = await self._peers.exchange(address, self._request(token_request))
+            answer = await self._peers.exchange(address, self._request(address, token_request))
         except PeerError as error:
             self._supply.record_failure(address, token_request, error)
             self._log_contact_lost('coordinator', str(error))
@@ -326,6 +329,7 @@
             self._board.lease.observe(answer.duty, self._board.clock(), self._board.clock())
         if not answer.is_coordinator:
             return False
+        self._reader_address, self._reads = address, answer.reads
         # A coordinator of the same data centre with an overdue renewal may be cut off together with this instance.
         overdue_s = max(answer.path_age_s - RENEW_INTERVAL_S, 0)
         self._coordinator_answered_at = max(self._coordinator_answered_at, began_at - overdue_s)
@@ -335,8 +339,10 @@
         self._apply_answer(answer, address, began_at)
         return True
 
-    def _request(self, token_request: SupplyRequest | None) -> ExchangeRequest:
+    def _request(self, address: str, token_request: SupplyRequest | None) -> ExchangeRequest:
         board = self._board
+        board.targets_history.record(board.targets_by_id)
+        reads = self._reads if address == self._reader_address else 1
         own = board.own
         observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]] = {}
         for record in board.permits.records():
@@ -346,18 +352,14 @@
                 if observation.failing_s is not None or observation.has_answered:
                     observations[record.service] = (target.target, *dataclasses.astuple(observation))
         return ExchangeRequest(
-            MemberRecord(own.instance, own.incarnation, own.peer_address, own.data_centre),
+            own.member(),
             board.configuration.version if board.configuration else -1,
-            self._targets_digest(),
+            board.targets_history.digest_for(reads),
             observations,
-            board.members_history.digest,
+            board.members_history.digest_for(reads),
             token_request,
         )
 
-    def _targets_digest(self) -> str:
-        self._board.targets_history.record(self._board.targets_by_id)
-        return self._board.targets_history.digest
-
     def _apply_answer(self, answer: ExchangeAnswer, address: str, began_at: Instant) -> None:
         """Apply an answer of the coordinator; ages count from the time of the request, so none is underestimated."""
         board = self._board
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -102,6 +102,7 @@
         centre has been known to be; nothing if the coordinator does not know.
     :param feed_age_s: Seconds since both feeds, configuration and registry, last answered the coordinator.
     :param path_age_s: Seconds since the table last answered the coordinator, which shows a path out of its data centre.
+    :param reads: Newest format of lists that the coordinator reads; the next request holds digests in that format.
     """
 
     is_coordinator: bool
@@ -117,6 +118,7 @@
     evacuated: tuple[float, dict[str, float]] | None = None
     feed_age_s: float = 1e6
     path_age_s: float = 0.0
+    reads: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
