Play an overload in which full targets were taken for silent ones

Change: a scenario with 48 instances in front of targets with 2 slots, at twice their capacity, checks that no target is paused as silent, that reads are served afterwards and how soon refusals come. The model's targets finish an opening whose caller has given up.

--- a/features/policies.feature
+++ b/features/policies.feature
@@ -56,6 +56,13 @@
     Then targets refuse at most 1 connection in 100 statements
     And every read is served
 
+  Scenario: Callers ask for more than the targets can do, and a full target is not taken for a silent one
+    Given 48 instances in front of targets with 2 slots and 40 connections
+    When callers read at 2 times the capacity for 4 s, then at 0.5 times for 3 s
+    Then no target is paused as silent
+    And at least 98 of 100 reads after the overload are served
+    And every refusal comes within 0.6 s
+
   Scenario: A data centre is cut off, and its instances become unready so that callers go elsewhere
     Given 9 instances in virtual time
     When a data centre is cut off for 6 s
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
@@ -211,6 +212,93 @@
     context.relay = World(plan, 5)
 
 
+#: Reads a second that 6 targets with 2 slots carry at 0.03 s for a read and 0.012 s for opening its connection.
+_CAPACITY_PER_S = 6 * 2 / 0.042
+
+#: Time after an overload in which what it left behind drains, in seconds: the time limit of a read.
+_DRAIN_S = 1.0
+
+
+@given('{count:d} instances in front of targets with {slots:d} slots and {most:d} connections')
+def step_few_slots(context: Any, count: int, slots: int, most: int) -> None:
+    plan = Plan(
+        instances=count,
+        services=2,
+        slots=slots,
+        max_connections=most,
+        organisations=8,
+        work_s=0.03,
+        rate_per_s=400,
+        burst=400,
+    )
+    context.relay = World(plan, 5)
+
+
+def _silent_targets(world: World) -> Iterator[str]:
+    """:returns: The targets that some instance does not use, because it takes them for silent."""
+    for instance in world.instances.values():
+        for target in instance.board.targets_by_id.values():
+            health = instance.board.health_of(target)
+            if health.is_silent and not health.is_usable(world.loop.time()):
+                yield target.target
+
+
+@when('callers read at {high:g} times the capacity for {long_s:g} s, then at {low:g} times for {short_s:g} s')
+def step_overload(context: Any, high: float, long_s: float, low: float, short_s: float) -> None:
+    world: World = context.relay
+    context.after_overload = collections.Counter()
+    context.refusal_times = []
+    context.paused = set()
+
+    async def call(number: int, *, is_after: bool) -> None:
+        session = _reader(world, number)
+        await session.open(world.listeners[world.rng.choice(sorted(world.listeners))])
+        began_at = world.loop.time()
+        sent = await session.execute(read(number))
+        if is_after:
+            context.after_overload[sent.outcome] += 1
+        if sent.outcome is not StatementOutcome.SERVED:
+            context.refusal_times.append(world.loop.time() - began_at)
+        session.close()
+
+    async def watch() -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            context.paused.update(_silent_targets(world))
+
+    async def scenario(_: World) -> None:
+        await world.start()
+        watcher = asyncio.ensure_future(watch())
+        calls = []
+        began_at = world.loop.time()
+        while world.loop.time() < began_at + long_s + _DRAIN_S + short_s:
+            passed_s = world.loop.time() - began_at
+            share = high if passed_s < long_s else low
+            await asyncio.sleep(world.rng.expovariate(share * _CAPACITY_PER_S))
+            step = call(len(calls), is_after=passed_s >= long_s + _DRAIN_S)
+            calls.append(asyncio.ensure_future(step))
+        await asyncio.gather(*calls)
+        watcher.cancel()
+
+    world.run(scenario)
+
+
+@then('no target is paused as silent')
+def step_none_paused(context: Any) -> None:
+    assert not context.paused, context.paused
+
+
+@then('at least {least:d} of 100 reads after the overload are served')
+def step_served_after(context: Any, least: int) -> None:
+    outcomes = context.after_overload
+    assert outcomes[StatementOutcome.SERVED] * 100 >= least * outcomes.total(), outcomes
+
+
+@then('every refusal comes within {limit:g} s')
+def step_refused_soon(context: Any, limit: float) -> None:
+    assert max(context.refusal_times, default=0) <= limit, max(context.refusal_times)
+
+
 @when('callers read for {seconds:g} s')
 def step_read(context: Any, seconds: float) -> None:
     world: World = context.relay
--- a/packages/fescuequay-emulator/fescuequay_emulator/targets.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/targets.py
@@ -113,6 +113,7 @@
         self.other_targets: list['ModelTarget'] = []
         self._rng = rng
         self._slots = asyncio.Semaphore(slots)
+        self._setups: set[asyncio.Task[None]] = set()
         self._waiting = 0
         self._work_s = work_s
         self._on_execution = on_execution
@@ -223,9 +224,11 @@
             self._waiting -= 1
 
     async def occupy_slot_to_connect(self) -> None:
-        """Occupy a slot for the time of connecting."""
-        async with self._slots:
-            await asyncio.sleep(_CONNECTION_SETUP_S)
+        """Occupy a slot for the time of connecting, also if the caller gives up meanwhile."""
+        setup = asyncio.ensure_future(self._set_up_connection())
+        self._setups.add(setup)
+        setup.add_done_callback(self._setups.discard)
+        await asyncio.shield(setup)
 
     def loses_answer(self) -> bool:
         """:returns: Whether the answer to an executed statement is lost, at random."""
@@ -235,5 +238,9 @@
         """:returns: Whether a statement fails, at random, although the reported status is normal."""
         return self._rng.random() < self.failed_statement_share
 
+    async def _set_up_connection(self) -> None:
+        async with self._slots:
+            await asyncio.sleep(_CONNECTION_SETUP_S)
+
     def _apply(self, count: int) -> None:
         self.applied = max(self.applied, min(count, len(self.log)))
