--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -233,6 +233,7 @@
     :param data_centre: Where it runs.
     :param is_leaving: Whether it gets no more permits until it registers again; its row may be removed once
         those that it may still hold have expired.
+    :param capacity: What it can bear, in cores; 0 if it can't be a gateway or doesn't say.
     """
 
     instance: InstanceId
@@ -240,6 +241,15 @@
     address: str
     data_centre: str
     is_leaving: bool = False
+    capacity: float = 0.0
+
+    def __repr__(self) -> str:
+        # Digests of the list are made of this text, so that a record without capacity reads as in earlier builds.
+        capacity = f', capacity={self.capacity!r}' if self.capacity else ''
+        return (
+            f'MemberRecord(instance={self.instance!r}, incarnation={self.incarnation!r}, address={self.address!r}, '
+            f'data_centre={self.data_centre!r}, is_leaving={self.is_leaving!r}{capacity})'
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -39,12 +39,20 @@
     :param incarnation: Identifier of this run; it differs after each start.
     :param data_centre: Data centre in which it runs.
     :param peer_address: Address of its peer listener.
+    :param capacity: What it can bear as a gateway, in cores; 0 if it is none.
     """
 
     instance: InstanceId
     incarnation: str
     data_centre: str
     peer_address: str
+    capacity: float = 0.0
+
+    def member_record(self) -> MemberRecord:
+        """:returns: Its entry in the list of instances."""
+        return MemberRecord(
+            self.instance, self.incarnation, self.peer_address, self.data_centre, capacity=self.capacity
+        )
 
 
 class Board:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -346,7 +346,7 @@
                 if observation.failing_s is not None or observation.has_answered:
                     observations[record.service] = (target.target, *dataclasses.astuple(observation))
         return ExchangeRequest(
-            MemberRecord(own.instance, own.incarnation, own.peer_address, own.data_centre),
+            own.member_record(),
             board.configuration.version if board.configuration else -1,
             self._targets_digest(),
             observations,
--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -9,6 +9,39 @@
 _BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
+class GatewayMetrics:
+    """Counters of what gateways do for other instances.
+
+    :param registry: Where they are registered.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.hops = Counter(
+            'fescuequay_hops_total', 'Requests to gateways by outcome.', ('outcome',), registry=registry
+        )
+        self.asked = Counter(
+            'fescuequay_gateway_requests_total',
+            'Requests of other instances to this gateway by outcome.',
+            ('outcome',),
+            registry=registry,
+        )
+        self.held = Gauge(
+            'fescuequay_gateway_connections', 'Open connections to targets that this gateway holds.', registry=registry
+        )
+        self.lent = Gauge(
+            'fescuequay_gateway_leases', 'Connections that transactions of other instances use.', registry=registry
+        )
+        self.opened = Counter(
+            'fescuequay_connections_opened_total', 'Connections opened to targets.', registry=registry
+        )
+        self.wait = Histogram(
+            'fescuequay_gateway_wait_seconds',
+            'Time for which requests of other instances waited for a connection.',
+            buckets=_BUCKETS_S,
+            registry=registry,
+        )
+
+
 class RelayMetrics:
     """Counters, gauges and histograms of an instance, in a registry of its own."""
 
@@ -39,6 +72,8 @@
             'fescuequay_configuration_version', 'Configuration in force.', registry=self.registry
         )
 
+        self.gateway = GatewayMetrics(self.registry)
+
     def record_statement(self, organisation: str, kind: StatementKind, outcome: str, took_s: float) -> None:
         """Record the outcome and duration of a statement, in seconds."""
         self.latency.labels(organisation).observe(took_s)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,11 +6,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from fescuequay_core.relay.model import TargetDescription
+from fescuequay_core.relay.model import LeaderRecord, TargetDescription
 from fescuequay_core.relay.pace import Pace, Unpaced
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
-from fescuequay_core.types import OrganisationId, TargetId
+from fescuequay_core.types import Instant, OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 
@@ -111,6 +111,16 @@
             self.names_by_shape[shape, is_write] = name
         return name
 
+    def note_record(self, record: LeaderRecord | None) -> None:
+        """Take note of the leader record under which the primary is used; nothing for a replica."""
+
+    def note_limit(self, at: Instant) -> None:
+        """Take note of when the time limit of the next statement ends."""
+
+    def concerns_target(self, error: Exception) -> bool:
+        """:returns: Whether a failure on this connection says something about the target."""
+        return True
+
     async def _require_success(self, step: Awaitable[Outcome]) -> None:
         outcome = await step
         if outcome.fault is not None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -193,8 +193,11 @@
     """A connection to a target could not be opened, or it ended.
 
     :param is_refusal: Whether the address refused the connection, so that nothing listens there.
+    :cvar concerns_target: Whether it says something about the target; not if a gateway before it failed.
     """
 
+    concerns_target = True
+
     def __init__(self, detail: str, *, is_refusal: bool = False) -> None:
         super().__init__(detail)
         self.is_refusal = is_refusal
@@ -204,6 +207,31 @@
     """The connection ended before the caller's statement was sent; it has certainly not run."""
 
 
+class GatewayLost(TargetLost):
+    """A gateway was lost or is silent; what it was asked may have run."""
+
+    concerns_target = False
+
+
+class GatewayTurnedAway(NotSent):
+    """A gateway doesn't serve the target now, or was not reached; the statement has certainly not run."""
+
+    concerns_target = False
+
+
+class GatewayRefused(NotSent):
+    """A gateway had no connection for the statement in time; it has certainly not run.
+
+    :param refusal: Its refusal.
+    """
+
+    concerns_target = False
+
+    def __init__(self, refusal: Refused) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """Complete answer of a target to one statement.
--- a/packages/fescuequay-entry/fescuequay_entry/relay/records.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/records.py
@@ -102,7 +102,7 @@
         """Write this instance's row. :raises TableError: The row may not have been written."""
         own = self._board.own
         began_at = self._board.clock()
-        member = MemberRecord(own.instance, own.incarnation, own.peer_address, own.data_centre)
+        member = own.member_record()
         written = await self._table.commit({}, {MEMBER_PREFIX + own.instance: msgspec.json.encode(member)})
         self._row_versions_by_member[own.instance] = written.version
         self._registered_at = began_at
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -15,6 +15,19 @@
     """The settings are invalid; the message names the file, the setting and the value."""
 
 
+class MachineLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an instance may use of its machine.
+
+    :param cpu_share: Share of one core.
+    :param cores: How many times as fast as one core it is.
+    :param link_mbps: Bandwidth of its network link, in Mbit/s.
+    """
+
+    cpu_share: Annotated[float, msgspec.Meta(gt=0)]
+    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
+
+
 class RelaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of an instance.
 
@@ -33,6 +46,7 @@
     :param evacuation_ms: Time from the operators' request to evacuate a data centre after which its targets may get no
         work, in milliseconds.
     :param log_level: Minimum level of log lines.
+    :param capacity: What the instance may use of its machine; without it, it is no gateway of a target.
     """
 
     instance: str
@@ -49,6 +63,7 @@
     limit_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     evacuation_ms: Annotated[float, msgspec.Meta(gt=0)] = 5000.0
     log_level: str = 'info'
+    capacity: MachineLimits | None = None
 
 
 def load(path: pathlib.Path) -> RelaySettings:
