--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway_source.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway_source.py
@@ -1,15 +1,14 @@
 """Where a statement gets a connection to a target with gateways: from them in turn, then from this instance."""
 
 from fescuequay_core.relay import gateways
-from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.relay.waiting import WaitingStatement
-from fescuequay_core.types import OrganisationId, TargetId
+from fescuequay_core.types import OrganisationId
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.gateway_directory import GatewayDirectory
 from fescuequay_entry.relay.hop_connection import HopConnection, HopPooled
 from fescuequay_entry.relay.hop_streams import GatewayPeers
 from fescuequay_entry.relay.metrics import GatewayMetrics
-from fescuequay_entry.relay.pool import ConnectionSource, PooledConnection, Pools, TargetPool
+from fescuequay_entry.relay.pool import ConnectionSource, PooledConnection, TargetPool
 
 
 class GatewaySource(ConnectionSource):
@@ -79,40 +78,3 @@
         peers = (self._peers.of(instance) for instance in self._directory.gateways_of(self.target))
         loads = [peer.load_of(self.target.target) for peer in peers if peer is not None]
         return min((load for load in loads if load is not None), default=None)
-
-
-class ConnectionSources:
-    """Sources of connections to all targets.
-
-    :param board: Shared state of the instance.
-    :param pools: This instance's own connections.
-    :param directory: Knows the gateways.
-    :param peers: Streams to gateways; nothing if this instance can reach none.
-    :param metrics: Counts outcomes.
-    """
-
-    def __init__(
-        self,
-        board: Board,
-        pools: Pools,
-        directory: GatewayDirectory,
-        peers: GatewayPeers | None,
-        metrics: GatewayMetrics,
-    ) -> None:
-        self._board = board
-        self._pools = pools
-        self._directory = directory
-        self._peers = peers
-        self._metrics = metrics
-        self._sources_by_target: dict[TargetId, GatewaySource] = {}
-
-    def of(self, target: TargetDescription) -> ConnectionSource:
-        """:returns: The source for a target's current incarnation."""
-        own = self._pools.pool_of(target)
-        if self._peers is None or not self._directory.gateways_of(target):
-            return own
-        source = self._sources_by_target.get(target.target)
-        if source is None or source.own is not own:
-            source = GatewaySource(self._board, self._directory, self._peers, own, self._metrics)
-            self._sources_by_target[target.target] = source
-        return source
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
@@ -81,7 +81,9 @@
     ) -> Outcome:
         """Run a caller's statement. :raises TargetLost: as for each connection, or the gateway was lost."""
         step = Step.IN_TRANSACTION if self._lease else Step.SINGLE
-        is_write = statement.kind is StatementKind.WRITE or (name is not None and self.shape is not None and self.shape[1])
+        is_write = statement.kind is StatementKind.WRITE or (
+            name is not None and self.shape is not None and self.shape[1]
+        )
         ask = self._ask(step, request, statement, self.shape if name is not None else None, after)
         return await self._run(ask, may_repeat=step is Step.SINGLE and not is_write)
 
@@ -231,4 +233,3 @@
 def _rounded(seconds: float) -> float:
     """:returns: A duration in as few digits as are needed."""
     return round(seconds, 4)
-
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
@@ -122,7 +122,11 @@
     async def listen(self, accept: HopAcceptor) -> None:
         """Accept streams."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _StreamProtocol(accept, is_answering=True), self._host, self._port, backlog=_LISTEN_BACKLOG, reuse_address=True
+            lambda: _StreamProtocol(accept, is_answering=True),
+            self._host,
+            self._port,
+            backlog=_LISTEN_BACKLOG,
+            reuse_address=True,
         )
 
     def stop(self) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -8,17 +8,23 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.relay.evacuation import Evacuations
+from fescuequay_core.relay.gateways import Limits
+from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId
 from fescuequay_entry.relay.board import Board, InstanceIdentity, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
 from fescuequay_entry.relay.coordinator import Coordinator
 from fescuequay_entry.relay.followers import ConfigurationFollower, TargetFollower
+from fescuequay_entry.relay.gateway import Gateway
+from fescuequay_entry.relay.gateway_directory import GatewayDirectory
+from fescuequay_entry.relay.gateway_source import GatewaySource
+from fescuequay_entry.relay.hop_streams import GatewayPeers
+from fescuequay_entry.relay.hops import Hops
 from fescuequay_entry.relay.membership import Membership
 from fescuequay_entry.relay.metrics import RelayMetrics
-from fescuequay_entry.relay.pool import Pools
+from fescuequay_entry.relay.pool import ConnectionSource, Pools, TargetPool
 from fescuequay_entry.relay.ports import (
     CallerConnection,
     CallerListener,
@@ -78,6 +84,7 @@
     :param targets: Feed of the target registry.
     :param promoter: Promotes targets.
     :param peers: Sends requests to other instances.
+    :param hops: Opens and accepts streams between instances and gateways; without it, no gateway is used.
     """
 
     def __init__(
@@ -89,8 +96,10 @@
         targets: Feed[TargetDescription],
         promoter: Promoter,
         peers: Peers,
+        hops: Hops | None = None,
     ) -> None:
         self.peers = peers
+        self.hops = hops
         self.listener = listener
         self.driver = driver
         self.table = table
@@ -119,6 +128,7 @@
             secrets.token_hex(4),
             settings.data_centre,
             f'{settings.host}:{settings.peer_ports[0]}',
+            _capacity(settings) if adapters.hops is not None else 0.0,
         )
         self.board = Board(
             own,
@@ -128,7 +138,10 @@
         )
         self.metrics = RelayMetrics()
         self._adapters = adapters
-        self._pools = Pools(self.board, adapters.driver)
+        directory = GatewayDirectory(self.board, is_used=adapters.hops is not None)
+        self._gateways = GatewayPeers(self.board, adapters.hops) if adapters.hops is not None else None
+        self._pools = Pools(self.board, adapters.driver, directory, self._gateway_source(directory))
+        self._gateway = Gateway(self.board, self._pools, directory, self.metrics.gateway)
         self._runner = StatementRunner(self.board, self._pools)
         self._controls = ControlConnections(self.board, adapters.driver)
         peers = adapters.peers
@@ -160,6 +173,8 @@
         self._start_task('membership', self.membership.run())
         self._start_task('sweeper', self._sweep())
         self._start_task('mover', self._watch_isolation())
+        if self._adapters.hops is not None:
+            await self._adapters.hops.listen(self._gateway.accept)
         await self._adapters.listener.start(self._serve_caller)
         log_event('started', instance=settings.instance)
 
@@ -167,16 +182,17 @@
         """Stop without cutting a request: become unready, drain sessions, then leave the list of members."""
         began_at = self.board.clock()
         self.board.is_stopping = True
+        self._gateway.announce_stop()
         log_event('stopping', sessions=len(self._sessions))
         releasing_lease = asyncio.ensure_future(self.membership.release_lease())
         drain_until = began_at + self.settings.stop_s * _DRAIN_SHARE
         end_at = began_at + self.settings.stop_s * _STOP_SHARE
         self.board.refuse_by = end_at - _REFUSE_UNSENT_BEFORE_END_S
         self.board.answer_by = end_at - _ANSWER_BEFORE_END_S
-        while self.board.clock() < drain_until and self._sessions:
+        while self.board.clock() < drain_until and self._is_busy():
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
         self._adapters.listener.stop_accepting()
-        while self.board.clock() < end_at and self._sessions:
+        while self.board.clock() < end_at and self._is_busy():
             for session in tuple(self._sessions):
                 session.close_if_idle()
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
@@ -184,10 +200,27 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.wait({asyncio.ensure_future(self.membership.leave())}, timeout=_LEAVE_TIMEOUT_S)
+        self._close_gateways()
         self._pools.close()
         self._controls.close()
         log_event('stopped', sessions_cut=len(self._sessions), took_s=round(self.board.clock() - began_at, 2))
 
+    def _is_busy(self) -> bool:
+        return bool(self._sessions) or self._gateway.is_busy()
+
+    def _close_gateways(self) -> None:
+        if self._gateways is not None:
+            self._gateways.close()
+        self._gateway.close()
+        if self._adapters.hops is not None:
+            self._adapters.hops.stop()
+
+    def _gateway_source(self, directory: GatewayDirectory) -> Callable[[TargetPool], ConnectionSource] | None:
+        peers = self._gateways
+        if peers is None:
+            return None
+        return lambda pool: GatewaySource(self.board, directory, peers, pool, self.metrics.gateway)
+
     def unanswered_count(self) -> int:
         """:returns: Number of sessions whose latest request has not been answered."""
         return sum(session.is_busy for session in self._sessions)
@@ -211,6 +244,9 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._pools.sweep()
+            self._gateway.sweep()
+            if self._gateways is not None:
+                self._gateways.sweep()
             self._target_follower.remove_expired()
             self.configurations.remove_expired()
             self.metrics.record_age.set(self.board.permits.oldest_age_s(self.board.clock()))
@@ -240,6 +276,11 @@
         self._tasks.append(task)
 
 
+def _capacity(settings: RelaySettings) -> float:
+    machine = settings.capacity
+    return 0.0 if machine is None else Limits(machine.cpu_share, machine.cores, machine.link_mbps).capacity()
+
+
 def _suspended_s() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -11,24 +11,14 @@
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, TargetId
-from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.board import Board
+from fescuequay_entry.relay.gateway_directory import ConnectionShare, GatewayDirectory
+from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 
-#: Connections of each target that are left free for status requests, promotions and newly started instances.
-_RESERVED_CONNECTIONS: Final = 3
-
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
 
-#: Timeout for opening a connection, in seconds; a target that needs longer would answer no statement in time either.
-CONNECT_TIMEOUT_S: Final = 0.6
-
-#: Least timeout for opening a connection whose expiry is recorded as a failure of the target, in seconds.
-SILENT_CONNECT_WAIT_S: Final = 0.2
-
-#: Lower bound of the timeout for opening a connection, in seconds.
-_MIN_CONNECT_TIMEOUT_S: Final = 0.02
-
 #: Time for which no connection is opened to a target that had none left, in seconds: each attempt costs the target
 #: time.
 _FULL_TARGET_PAUSE_S: Final = 0.15
@@ -45,19 +35,6 @@
 _RETRY_AFTER_S: Final = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionShare:
-    """Number of connections to one target that an instance may have.
-
-    :param max_open: Open connections; at least one, even if there are more instances than connections.
-    :param max_kept: Open connections above which idle ones are closed; 0 if there are more instances than connections:
-        statements need a connection only briefly, and idle ones would lock other instances out.
-    """
-
-    max_open: int
-    max_kept: int
-
-
 @dataclasses.dataclass(slots=True)
 class PooledConnection:
     """Connection to a target with the session state that is set on it; used by one statement or transaction at a time.
@@ -208,6 +185,7 @@
         self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
+        self._openings: set[asyncio.Task[PooledConnection]] = set()
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
@@ -322,28 +300,42 @@
             raise Refused(TARGET_BUSY, f'{self.target.target} had no connection left', _RETRY_AFTER_S)
         if self._idle and self.open_count() > self._share.max_kept:
             self._idle.pop(0).connection.close()
+        opening = asyncio.ensure_future(self._connect(organisation))
+        self._openings.add(opening)
+        opening.add_done_callback(self._openings.discard)
         began_at = self._board.clock()
-        health = self._board.health_of(self.target)
-        limit_s = min(CONNECT_TIMEOUT_S, max(until - began_at, _MIN_CONNECT_TIMEOUT_S))
         try:
-            connection = await asyncio.wait_for(self._driver.connect(self.target, organisation), limit_s)
-        except TimeoutError:
-            if limit_s >= SILENT_CONNECT_WAIT_S:
-                # A shorter timeout reflects the time left to the statement and says nothing about the target.
-                health.record_failure(began_at, self._board.clock(), is_refusal=False)
-            log_event('target_silent', target=self.target.target, waited_s=round(limit_s, 3), step='connect')
-            raise TargetLost(f'{self.target.target} did not accept a connection in {limit_s:.2f} s') from None
-        except TargetLost as error:
-            health.record_failure(began_at, self._board.clock(), is_refusal=error.is_refusal)
-            log_event('target_unreachable', target=self.target.target, detail=str(error), step='connect')
-            raise
+            await asyncio.wait({opening}, timeout=max(until - began_at, 0))
+        finally:
+            if not opening.done():
+                # The target is working on it already: the connection is kept for the next statement.
+                self._held += 1
+                opening.add_done_callback(self._keep_late)
+        if opening.done():
+            return opening.result()
+        raise TargetLost(f'{self.target.target} did not open a connection in {self._board.clock() - began_at:.2f} s')
+
+    def _keep_late(self, opening: asyncio.Task[PooledConnection]) -> None:
+        """Keep a connection that was opened after its statement had given up."""
+        self._held -= 1
+        if not opening.cancelled() and opening.exception() is None:
+            pooled = opening.result()
+            if self.is_closed:
+                pooled.connection.close()
+            else:
+                pooled.used_at = self._board.clock()
+                self._idle.append(pooled)
+        self._wake_waiters()
+
+    async def _connect(self, organisation: OrganisationId) -> PooledConnection:
+        try:
+            connection = await Opening(self._board, self._driver, self.target).run(organisation)
         except Refused as refusal:
-            health.record_answer(self._board.clock())
             if refusal.reason.kind in {RefusalKind.TOO_MANY_CONNECTIONS, RefusalKind.OVERLOADED}:
                 self._full_until = self._board.clock() + _FULL_TARGET_PAUSE_S
+                self.pace.record_overload(self._board.clock())
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_AFTER_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
-        health.record_connection(self._board.clock(), self._board.clock() - began_at)
         return PooledConnection(connection, self.target, organisation, self)
 
 
@@ -352,11 +344,22 @@
 
     :param board: Shared state of the instance.
     :param driver: Opens connections.
+    :param directory: Knows the gateways of the targets; none by default.
+    :param gateway_source: Returns the source for a target that has gateways, given this instance's own pool.
     """
 
-    def __init__(self, board: Board, driver: TargetDriver) -> None:
+    def __init__(
+        self,
+        board: Board,
+        driver: TargetDriver,
+        directory: GatewayDirectory | None = None,
+        gateway_source: Callable[[TargetPool], ConnectionSource] | None = None,
+    ) -> None:
         self._board = board
         self._driver = driver
+        self._directory = GatewayDirectory(board, is_used=False) if directory is None else directory
+        self._gateway_source = gateway_source
+        self._sources_by_target: dict[TargetId, tuple[TargetPool, ConnectionSource]] = {}
         self.pools_by_target: dict[TargetId, TargetPool] = {}
         board.changes.subscribe(self._on_change)
 
@@ -366,19 +369,28 @@
         if pool is None or _is_different_incarnation(pool.target, target):
             if pool is not None:
                 pool.close()
-            pool = TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+            pool = self._new_pool(target)
             self.pools_by_target[target.target] = pool
         return pool
 
+    def source_of(self, target: TargetDescription) -> ConnectionSource:
+        """:returns: Where statements get connections to a target: its gateways, if it has any, or else its pool."""
+        pool = self.pool_of(target)
+        if self._gateway_source is None or not self._directory.gateways_of(target):
+            return pool
+        known = self._sources_by_target.get(target.target)
+        if known is None or known[0] is not pool:
+            known = (pool, self._gateway_source(pool))
+            self._sources_by_target[target.target] = known
+        return known[1]
+
     def share_of(self, target: TargetDescription) -> ConnectionShare:
         """:returns: This instance's share of a target's connections."""
-        configuration = self._board.configuration
-        policy = configuration.services_by_id.get(target.service) if configuration else None
-        if policy is None:
-            return ConnectionShare(1, 1)
-        reserved = min(_RESERVED_CONNECTIONS, policy.max_connections // 4)
-        equal_share = (policy.max_connections - reserved) // self._board.member_count()
-        return ConnectionShare(max(equal_share, 1), equal_share)
+        return self._directory.share_of(target)
+
+    def open_count(self) -> int:
+        """:returns: Number of open connections to all targets."""
+        return sum(pool.open_count() for pool in self.pools_by_target.values())
 
     def sweep(self) -> None:
         """Close connections that are no longer needed."""
@@ -398,6 +410,11 @@
             if present is None or _is_different_incarnation(pool.target, present):
                 pool.close()
                 self.pools_by_target.pop(target)
+                self._sources_by_target.pop(target, None)
+
+    def _new_pool(self, target: TargetDescription) -> TargetPool:
+        """:returns: A pool for a target; the one place that decides its waiting line and its pace."""
+        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
 
 
 def _is_different_incarnation(known: TargetDescription, present: TargetDescription) -> bool:
