--- a/packages/fescuequay-core/fescuequay_core/relay/gateways.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/gateways.py
@@ -29,6 +29,9 @@
 
 _HASH_BYTES: Final = 8
 
+#: Number of different hashes.
+_HASHES: Final = 1 << (8 * _HASH_BYTES)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -109,8 +112,8 @@
     places_by_instance = _places(len(targets) * _GATEWAYS_OF_TARGET, members)
     for target in targets:
         free = [member for member in members if places_by_instance[member.instance] > 0]
-        free.sort(key=lambda member: (-_score(target, member), member.instance))
-        gateways = tuple(member.instance for member in free[:_GATEWAYS_OF_TARGET])
+        ranked = sorted((-_score(target, member), member.instance) for member in free)
+        gateways = tuple(instance for _, instance in ranked[:_GATEWAYS_OF_TARGET])
         for instance in gateways:
             places_by_instance[instance] -= 1
         yield target, gateways
@@ -126,8 +129,8 @@
 
 
 def _score(target: TargetId, member: MemberRecord) -> float:
-    drawn = (_hash(f'{target}/{member.instance}') + 1) / (256**_HASH_BYTES + 1)
-    return member.capacity**_SIZE_PREFERENCE / -math.log(drawn)
+    drawn = (_hash(f'{target}/{member.instance}') + 1) / (_HASHES + 1)
+    return math.pow(member.capacity, _SIZE_PREFERENCE) / -math.log(drawn)
 
 
 def _hash(text: str) -> int:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -9,7 +9,7 @@
 from fescuequay_core.relay.model import SessionState, StatementKind, TargetDescription
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.relay.waiting import WaitingStatement
-from fescuequay_core.types import Instant, OrganisationId, RequestId, ServiceId, TargetId
+from fescuequay_core.types import Instant, OrganisationId, RequestId, TargetId
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.gateway_directory import GatewayDirectory
 from fescuequay_entry.relay.hop_frames import (
@@ -38,7 +38,7 @@
 #: Time beyond the limit of idle transactions after which the gateway ends one itself, in seconds.
 _IDLE_MARGIN_S: Final = 2.0
 
-_BEGIN_STEPS: Final = frozenset({Step.BEGIN_READ, Step.BEGIN_WRITE})
+_BEGIN_STEPS: Final = frozenset((Step.BEGIN_READ, Step.BEGIN_WRITE))
 
 #: Steps that get a connection from the pool.
 _FIRST_STEPS: Final = _BEGIN_STEPS | {Step.SINGLE}
@@ -300,10 +300,7 @@
         pooled = lease.pooled
         health = self._board.health_of(pooled.target)
         began_at = self._board.clock()
-        service = pooled.target.service
-        in_flight_writes = self._board.in_flight_writes
-        is_write = ask.kind is StatementKind.WRITE or (ask.shape is not None and ask.shape[1])
-        lease.has_written = lease.has_written or is_write
+        lease.has_written = lease.has_written or _is_write(ask)
         # A commit decides; what a transaction writes before it takes no effect.
         is_decisive = ask.step in _FIRST_STEPS or (ask.kind is StatementKind.COMMIT and lease.has_written)
         try:
@@ -311,14 +308,8 @@
             if is_decisive and not self._has_permit(ask, pooled.target):
                 # Checked at the moment of sending.
                 raise _NotServed(Fate.TURNED_AWAY, 'the permit for this primary has ended at the gateway')
-            health.in_flight += 1
-            _add(in_flight_writes, service, int(lease.has_written and is_decisive))
-            try:
-                async with asyncio.timeout(max(until - self._board.clock(), 0)):
-                    outcome = await self._send(ask, pooled, name)
-            finally:
-                health.in_flight -= 1
-                _add(in_flight_writes, service, -int(lease.has_written and is_decisive))
+            async with asyncio.timeout(max(until - self._board.clock(), 0)):
+                outcome = await self._send_counted(ask, pooled, name, writes=int(lease.has_written and is_decisive))
         except (TargetLost, TimeoutError):
             health.record_failure(began_at, self._board.clock(), is_refusal=False)
             pooled.connection.close()
@@ -333,6 +324,19 @@
             await pooled.apply_session_values(ask.values)
             return None if ask.shape is None else await pooled.prepared_name(ask.shape[0], is_write=ask.shape[1])
 
+    async def _send_counted(self, ask: Ask, pooled: PooledConnection, name: str | None, *, writes: int) -> Outcome:
+        """Send a statement that counts as in flight, so that a planned promotion can wait for its end."""
+        health = self._board.health_of(pooled.target)
+        counts = self._board.in_flight_writes
+        service = pooled.target.service
+        health.in_flight += 1
+        counts[service] = counts.get(service, 0) + writes
+        try:
+            return await self._send(ask, pooled, name)
+        finally:
+            health.in_flight -= 1
+            counts[service] -= writes
+
     async def _send(self, ask: Ask, pooled: PooledConnection, name: str | None) -> Outcome:
         connection = pooled.connection
         self._sent_numbers.add(ask.number)
@@ -369,5 +373,5 @@
         lease.pooled.source.release(lease.pooled, is_clean=False)
 
 
-def _add(counts: dict[ServiceId, int], service: ServiceId, change: int) -> None:
-    counts[service] = counts.get(service, 0) + change
+def _is_write(ask: Ask) -> bool:
+    return ask.kind is StatementKind.WRITE or (ask.shape is not None and ask.shape[1])
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -21,7 +21,11 @@
 #: Version of the format and length of the body.
 _HEADER: Final = struct.Struct('>BI')
 
-_REASONS_BY_CODE: Final = {one.code: one for one in vars(refusals).values() if isinstance(one, Reason)}
+_REASONS_BY_CODE: Final = {
+    reason.code: reason
+    for reason in vars(refusals).values()  # noqa: WPS421 -- the module is the list of all reasons
+    if isinstance(reason, Reason)
+}
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0)]
 
@@ -219,7 +223,7 @@
             if len(self._buffer) < end:
                 return
             body = bytes(self._buffer[_HEADER.size : end])
-            del self._buffer[:end]
+            self._buffer = self._buffer[end:]
             try:
                 frame = _DECODER.decode(body)
             except msgspec.MsgspecError as error:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
@@ -43,7 +43,7 @@
 
 #: Most requests and unsent bytes of one stream; the next request takes another way.
 MAX_OUTSTANDING: Final = 256
-_MAX_UNSENT_BYTES: Final = 256 * 1024
+_MAX_UNSENT_BYTES: Final = 250_000
 
 #: Time after which an unused stream is closed, in seconds.
 _IDLE_TIMEOUT_S: Final = 60.0
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -87,7 +87,7 @@
     :param hops: Opens and accepts streams between instances and gateways; without it, no gateway is used.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- one argument for each port
         self,
         listener: CallerListener,
         driver: TargetDriver,
@@ -205,6 +205,16 @@
         self._controls.close()
         log_event('stopped', sessions_cut=len(self._sessions), took_s=round(self.board.clock() - began_at, 2))
 
+    def unanswered_count(self) -> int:
+        """:returns: Number of sessions whose latest request has not been answered."""
+        return sum(session.is_busy for session in self._sessions)
+
+    def is_ready(self) -> bool:
+        """:returns: Whether the load balancer should send new callers to this instance."""
+        if self.board.is_stopping or self.board.configuration is None or not self.board.has_targets:
+            return False
+        return not self.membership.is_isolated()
+
     def _is_busy(self) -> bool:
         return bool(self._sessions) or self._gateway.is_busy()
 
@@ -221,16 +231,6 @@
             return None
         return lambda pool: GatewaySource(self.board, directory, peers, pool, self.metrics.gateway)
 
-    def unanswered_count(self) -> int:
-        """:returns: Number of sessions whose latest request has not been answered."""
-        return sum(session.is_busy for session in self._sessions)
-
-    def is_ready(self) -> bool:
-        """:returns: Whether the load balancer should send new callers to this instance."""
-        if self.board.is_stopping or self.board.configuration is None or not self.board.has_targets:
-            return False
-        return not self.membership.is_isolated()
-
     async def _serve_caller(self, caller: CallerConnection) -> None:
         session = Session(self.board, self._runner, self.metrics, caller)
         self._sessions.add(session)
