--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -12,7 +12,7 @@
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.operation import Choice, FailedAttempts, InFlightWrite, Operation, Placement
 from fescuequay_entry.relay.pool import Pools
-from fescuequay_entry.relay.ports import NotSent, Outcome, TargetLost
+from fescuequay_entry.relay.ports import GatewayRefused, NotSent, Outcome, TargetLost
 from fescuequay_entry.relay.target_selector import (
     BUSY_TARGET_PAUSE_S,
     FAILOVER_WAIT_SHARE,
@@ -112,6 +112,8 @@
         health = self._board.health_of(pooled.target)
         sent_at = self._board.clock()
         limit_s = self._time_limit_s(operation, sent_at)
+        pooled.note_limit(sent_at + limit_s)
+        was_sent = operation.is_sent
         operation.is_sent = True
         health.in_flight += 1
         try:
@@ -120,6 +122,8 @@
                 limit_s,
             )
         except (TimeoutError, TargetLost) as error:
+            if isinstance(error, NotSent):
+                operation.is_sent = was_sent
             self._record_lost(placement, sent_at, error, request)
             raise
         finally:
@@ -164,6 +168,23 @@
         else:
             await asyncio.sleep(BUSY_TARGET_PAUSE_S)
 
+    async def prepare_after_loss(
+        self, operation: Operation, placement: Placement, error: TargetLost, tried: set[TargetId]
+    ) -> None:
+        """Prepare another attempt of a statement whose connection was lost.
+
+        :param operation: The operation.
+        :param placement: Connection that was lost.
+        :param error: What happened.
+        :param tried: Targets to avoid; this one is added, unless only the gateway before it failed.
+        :raises Refused: A gateway refused it, and its aim has passed.
+        """
+        target = placement.pooled.target.target
+        if isinstance(error, GatewayRefused):
+            await self._pause_after_refusal(operation, target, error.refusal, tried)
+        elif error.concerns_target:
+            tried.add(target)
+
     async def _roll_back(self, placement: Placement) -> None:
         is_clean = False
         try:
@@ -192,8 +213,8 @@
             placement = await self.place(operation, needs_primary=True, tried=tried)
             try:
                 outcome = await self._write_once(operation, placement, request, statement, shape)
-            except NotSent:
-                tried.add(placement.pooled.target.target)
+            except NotSent as error:
+                await self.prepare_after_loss(operation, placement, error, tried)
                 continue
             if outcome.fault is None:
                 if not self.has_valid_permit(placement):
@@ -295,8 +316,8 @@
         try:
             outcome = await self._execute_read(operation, placement, request, statement, shape)
         except TargetLost as error:
-            tried.add(placement.pooled.target.target)
             failed_attempts.record_lost(error)
+            await self.prepare_after_loss(operation, placement, error, tried)
             return None
         if outcome.fault is None:
             return outcome
@@ -357,24 +378,21 @@
 
     async def _try_place(self, operation: Operation, choice: Choice, tried: set[TargetId]) -> Placement | None:
         target = choice.target
-        pool = self._pools.pool_of(target)
+        source = self._pools.source_of(target)
         acquire_until = max(operation.began_at + operation.route.aim_s, self._board.clock() + operation.route.aim_s / 2)
         until = self._board.may_wait_until(min(operation.until, acquire_until))
         try:
-            pooled = await pool.acquire(operation.waiting_statement(until))
+            pooled = await source.acquire(operation.waiting_statement(until))
         except TargetLost as error:
             tried.add(target.target)
             if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
                 raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
             return None
         except Refused as refusal:
-            tried.add(target.target)
-            if self._board.clock() >= operation.began_at + operation.route.aim_s:
-                raise
-            log_event('target_full', target=target.target, detail=refusal.detail)
-            await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+            await self._pause_after_refusal(operation, target.target, refusal, tried)
             return None
         placement = Placement(pooled, choice.record, choice.after)
+        pooled.note_record(choice.record)
         try:
             await asyncio.wait_for(pooled.apply_session_values(operation.values), _SILENCE_TIMEOUT_S)
         except (TargetLost, TimeoutError) as error:
@@ -387,6 +405,16 @@
             return None
         return placement
 
+    async def _pause_after_refusal(
+        self, operation: Operation, target: TargetId, refusal: Refused, tried: set[TargetId]
+    ) -> None:
+        """Avoid a target that had no connection, and pause. :raises Refused: The aim has passed."""
+        tried.add(target)
+        if self._board.clock() >= operation.began_at + operation.route.aim_s:
+            raise refusal
+        log_event('target_full', target=target, detail=refusal.detail)
+        await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+
     def _record_outcome(self, placement: Placement, sent_at: Instant, outcome: Outcome) -> None:
         now = self._board.clock()
         health = self._board.health_of(placement.pooled.target)
@@ -401,10 +429,12 @@
         now = self._board.clock()
         target = placement.pooled.target
         is_refusal = isinstance(error, TargetLost) and error.is_refusal
-        self._board.health_of(target).record_failure(sent_at, now, is_refusal=is_refusal)
+        concerns_target = placement.pooled.concerns_target(error)
+        if concerns_target:
+            self._board.health_of(target).record_failure(sent_at, now, is_refusal=is_refusal)
         placement.pooled.connection.close()
         log_event(
-            'target_lost',
+            'target_lost' if concerns_target else 'hop_failed',
             request=request,
             target=target.target,
             waited_s=round(now - sent_at, 3),
