--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -51,18 +51,21 @@
         try:
             while True:
                 await asyncio.sleep(self._rng.expovariate(1 / _MEAN_INTERVAL_S))
-                try:
-                    if self._writer is None and not await self._open():
-                        continue
-                    if self._rng.random() < _WRITE_FRACTION:
-                        await self._write()
-                    else:
-                        await self._read()
-                except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
-                    self._close()
+                await self._send_one()
         finally:
             self._close()
 
+    async def _send_one(self) -> None:
+        try:
+            if self._writer is None and not await self._open():
+                return
+            if self._rng.random() < _WRITE_FRACTION:
+                await self._write()
+            else:
+                await self._read()
+        except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
+            self._close()
+
     def _close(self) -> None:
         if self._writer is not None:
             self._writer.transport.abort()
--- a/features/upgrades.py
+++ b/features/upgrades.py
@@ -10,10 +10,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 
-#: Time that instances of both builds serve side by side after each replacement, in seconds: several exchanges.
-_SETTLE_S = 0.6
+#: Time that instances of both builds serve side by side after each replacement, in seconds: about an exchange.
+_SETTLE_S = 0.4
 
-#: Longest time that an instance may take to be ready, in seconds.
+#: Longest time that an instance may take to be ready, and all of them to serve their first caller, in seconds.
 _READY_TIMEOUT_S = 10.0
 
 #: Events which say that a build could not read what another one sent or wrote.
@@ -63,6 +63,7 @@
             for process in self._processes:
                 await _await_ready(process)
             tasks.extend(asyncio.ensure_future(caller.run()) for caller in self._callers())
+            await self._await_service()
             await self._roll(ROOT)
             await self._roll(self.earlier)
         finally:
@@ -71,6 +72,12 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             await asyncio.gather(*(process.kill() for process in self._processes))
 
+    async def _await_service(self) -> None:
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while not self.history.served:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(_SETTLE_S)
+
     async def _roll(self, checkout: pathlib.Path) -> None:
         random.Random(len(self.coordinators)).shuffle(self._processes)
         for process in self._processes:
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -233,6 +233,7 @@
     :param data_centre: Where it runs.
     :param is_leaving: Whether it gets no more permits until it registers again; its row may be removed once
         those that it may still hold have expired.
+    :param capacity: What it can bear, in cores; 0 if it can't be a gateway or doesn't say.
     :param reads: Newest format of lists that its build reads.
     """
 
@@ -241,6 +242,7 @@
     address: str
     data_centre: str
     is_leaving: bool = False
+    capacity: float = 0.0
     reads: int = 1
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -40,16 +40,25 @@
     :param incarnation: Identifier of this run; it differs after each start.
     :param data_centre: Data centre in which it runs.
     :param peer_address: Address of its peer listener.
+    :param capacity: What it can bear as a gateway, in cores; 0 if it is none.
     """
 
     instance: InstanceId
     incarnation: str
     data_centre: str
     peer_address: str
-
-    def member(self) -> MemberRecord:
-        """:returns: How the instance describes itself to the others."""
-        return MemberRecord(self.instance, self.incarnation, self.peer_address, self.data_centre, reads=formats.READS)
+    capacity: float = 0.0
+
+    def member_record(self) -> MemberRecord:
+        """:returns: Its entry in the list of instances."""
+        return MemberRecord(
+            self.instance,
+            self.incarnation,
+            self.peer_address,
+            self.data_centre,
+            capacity=self.capacity,
+            reads=formats.READS,
+        )
 
 
 class Board:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,18 +6,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from fescuequay_core.relay.model import TargetDescription
+from fescuequay_core.relay.model import LeaderRecord, TargetDescription
 from fescuequay_core.relay.pace import Pace, Unpaced
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
-from fescuequay_core.types import OrganisationId, TargetId
+from fescuequay_core.types import Instant, OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board
+from fescuequay_entry.relay.gateway_directory import ConnectionShare, GatewayDirectory
 from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 
-#: Connections of each target that are left free for status requests, promotions and newly started instances.
-_RESERVED_CONNECTIONS: Final = 3
-
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
 
@@ -37,19 +35,6 @@
 _RETRY_AFTER_S: Final = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionShare:
-    """Number of connections to one target that an instance may have.
-
-    :param max_open: Open connections; at least one, even if there are more instances than connections.
-    :param max_kept: Open connections above which idle ones are closed; 0 if there are more instances than connections:
-        statements need a connection only briefly, and idle ones would lock other instances out.
-    """
-
-    max_open: int
-    max_kept: int
-
-
 @dataclasses.dataclass(slots=True)
 class PooledConnection:
     """Connection to a target with the session state that is set on it; used by one statement or transaction at a time.
@@ -103,6 +88,16 @@
             self.names_by_shape[shape, is_write] = name
         return name
 
+    def note_record(self, record: LeaderRecord | None) -> None:
+        """Take note of the leader record under which the primary is used; nothing for a replica."""
+
+    def note_limit(self, at: Instant) -> None:
+        """Take note of when the time limit of the next statement ends."""
+
+    def concerns_target(self, error: Exception) -> bool:
+        """:returns: Whether a failure on this connection says something about the target."""
+        return True
+
     async def _require_success(self, step: Awaitable[Outcome]) -> None:
         outcome = await step
         if outcome.fault is not None:
@@ -349,11 +344,22 @@
 
     :param board: Shared state of the instance.
     :param driver: Opens connections.
+    :param directory: Knows the gateways of the targets; none by default.
+    :param gateway_source: Returns the source for a target that has gateways, given this instance's own pool.
     """
 
-    def __init__(self, board: Board, driver: TargetDriver) -> None:
+    def __init__(
+        self,
+        board: Board,
+        driver: TargetDriver,
+        directory: GatewayDirectory | None = None,
+        gateway_source: Callable[[TargetPool], ConnectionSource] | None = None,
+    ) -> None:
         self._board = board
         self._driver = driver
+        self._directory = GatewayDirectory(board, is_used=False) if directory is None else directory
+        self._gateway_source = gateway_source
+        self._sources_by_target: dict[TargetId, tuple[TargetPool, ConnectionSource]] = {}
         self.pools_by_target: dict[TargetId, TargetPool] = {}
         board.changes.subscribe(self._on_change)
 
@@ -363,19 +369,28 @@
         if pool is None or _is_different_incarnation(pool.target, target):
             if pool is not None:
                 pool.close()
-            pool = TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+            pool = self._new_pool(target)
             self.pools_by_target[target.target] = pool
         return pool
 
+    def source_of(self, target: TargetDescription) -> ConnectionSource:
+        """:returns: Where statements get connections to a target: its gateways, if it has any, or else its pool."""
+        pool = self.pool_of(target)
+        if self._gateway_source is None or not self._directory.gateways_of(target):
+            return pool
+        known = self._sources_by_target.get(target.target)
+        if known is None or known[0] is not pool:
+            known = (pool, self._gateway_source(pool))
+            self._sources_by_target[target.target] = known
+        return known[1]
+
     def share_of(self, target: TargetDescription) -> ConnectionShare:
         """:returns: This instance's share of a target's connections."""
-        configuration = self._board.configuration
-        policy = configuration.services_by_id.get(target.service) if configuration else None
-        if policy is None:
-            return ConnectionShare(1, 1)
-        reserved = min(_RESERVED_CONNECTIONS, policy.max_connections // 4)
-        equal_share = (policy.max_connections - reserved) // self._board.member_count()
-        return ConnectionShare(max(equal_share, 1), equal_share)
+        return self._directory.share_of(target)
+
+    def open_count(self) -> int:
+        """:returns: Number of open connections to all targets."""
+        return sum(pool.open_count() for pool in self.pools_by_target.values())
 
     def sweep(self) -> None:
         """Close connections that are no longer needed."""
@@ -395,6 +410,11 @@
             if present is None or _is_different_incarnation(pool.target, present):
                 pool.close()
                 self.pools_by_target.pop(target)
+                self._sources_by_target.pop(target, None)
+
+    def _new_pool(self, target: TargetDescription) -> TargetPool:
+        """:returns: A pool for a target; the one place that decides its waiting line and its pace."""
+        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
 
 
 def _is_different_incarnation(known: TargetDescription, present: TargetDescription) -> bool:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -142,7 +142,7 @@
         for target, is_primary in self._board.read_targets_of(operation.route.service):
             health = self._board.health_of(target)
             if is_primary or required is not None:
-                pool = self._pools.pool_of(target)
+                pool = self._pools.source_of(target)
                 has_idle = pool.has_idle(operation.organisation)
                 candidates.append(
                     placement.Candidate(target, health, pool.available(), pool.waiting(), is_primary, has_idle)
