Start real fleets of a scenario only when each instance knows its targets

Cause of the end-to-end flake: a replica took no part in the choice, since the second instance had only just learnt the leader (0.13 s before, by its status at the failure). The stand-ins' wait for readiness is satisfied while an instance has no connections to any target yet, so the first read went to the primary.

--- a/features/world.py
+++ b/features/world.py
@@ -129,6 +129,18 @@
         for number in range(instances):
             await self.fleet.add_instance(f'i{number + 1}', builders.DATA_CENTRES[number % 4])
         await self.fleet.wait_ready()
+        async with asyncio.timeout(_STEP_TIMEOUT_S / 2):
+            while not await self._knows_targets():
+                await asyncio.sleep(0.05)
+
+    async def _knows_targets(self) -> bool:
+        """:returns: Whether every instance of this small fleet has connections to each target and knows its role."""
+        for instance in self.fleet.instances_by_name.values():
+            async with self.http.get(f'http://{instance.peers}/status', timeout=_STATUS_TIMEOUT) as answer:
+                targets = (await answer.json())['targets'].values()
+            if not targets or not all(target['role'] and target['connections'] for target in targets):
+                return False
+        return True
 
     async def _close(self) -> None:
         if hasattr(self, 'http'):
