--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -32,14 +32,16 @@
     Violation,
 )
 from fescuequay_emulator.connections import ModelDriver
+from fescuequay_emulator.hops import ModelHops, ModelLink
 from fescuequay_emulator.network import CutMode, Network
 from fescuequay_emulator.peers import ModelPeers, ModelPromoter
 from fescuequay_emulator.table import TABLE_NODE, FeedEntries, ModelFeed, ModelTable, Store
 from fescuequay_emulator.targets import Commit, ModelTarget
 from fescuequay_emulator.virtual_loop import VirtualLoop, current_process
+from fescuequay_entry.relay.hops import HopAcceptor
 from fescuequay_entry.relay.instance import Adapters, Instance
 from fescuequay_entry.relay.ports import OperatorEntry
-from fescuequay_entry.relay.settings import RelaySettings
+from fescuequay_entry.relay.settings import MachineLimits, RelaySettings
 
 DATA_CENTRES: Final = ('north', 'south', 'east', 'west')
 
@@ -78,6 +80,7 @@
     :param rate_per_s: Rate of each organisation.
     :param burst: Burst of each organisation.
     :param counts_bytes: Whether the messages between instances and their bytes are counted.
+    :param cores: What each instance can bear as a gateway, in cores; 0 if none is used.
     """
 
     instances: int = 5
@@ -91,6 +94,7 @@
     rate_per_s: float = 40.0
     burst: float = 40.0
     counts_bytes: bool = False
+    cores: float = 0.0
 
 
 class World:
@@ -116,6 +120,10 @@
         self.instances: dict[str, Instance] = {}
         self.listeners: dict[str, ModelListener] = {}
         self.names_by_address: dict[str, str] = {}
+        #: What accepts streams at each instance, the open ends of streams, and the number of streams opened so far.
+        self.acceptors: dict[str, HopAcceptor] = {}
+        self.links: dict[ModelLink, None] = {}
+        self.opened_streams = 0
         self.data_centres_by_instance: dict[str, str] = {}
         self.control_bytes: collections.Counter[str] = collections.Counter()
         self.control_messages: collections.Counter[str] = collections.Counter()
@@ -232,6 +240,7 @@
             '0.0.0.0:4',
             limit_overage=LIMIT_OVERAGE,
             limit_slack=LIMIT_SLACK,
+            capacity=MachineLimits(1.0, self.plan.cores) if self.plan.cores else None,
         )
         self.names_by_address[f'{name}:1'] = name
         listener = ModelListener()
@@ -243,6 +252,7 @@
             ModelFeed(self.registry, name),
             ModelPromoter(self, name),
             ModelPeers(self, name),
+            ModelHops(self, name) if self.plan.cores else None,
         )
         instance = Instance(settings, adapters, self.loop.time)
         self.instances[name] = instance
@@ -266,6 +276,14 @@
             return
         self.listeners.pop(name).close_connections()
         self.loop.kill(name)
+        self.acceptors.pop(name, None)
+        for link in tuple(self.links):
+            if link.near == name:
+                # A receiver of a process that has ended hears of nothing.
+                link.receiver = None
+                self.links.pop(link)
+                if not is_power_loss:
+                    link.close()
         connections = [
             connection
             for target in self.targets.values()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway_directory.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway_directory.py
@@ -22,10 +22,13 @@
     :param max_open: Open connections; at least one, even if there are more instances than connections.
     :param max_kept: Open connections above which idle ones are closed; 0 if there are more instances than connections:
         statements need a connection only briefly, and idle ones would lock other instances out.
+    :param is_common: Whether it is the share of a gateway, whose connections serve all instances: it takes no turns
+        with the others, and keeps what it has.
     """
 
     max_open: int
     max_kept: int
+    is_common: bool = False
 
 
 class GatewayDirectory:
@@ -69,7 +72,7 @@
             return ConnectionShare(max(equal_share, 1), equal_share)
         share = gateways.gateway_share(usable, len(chosen))
         if self._board.own.instance in chosen:
-            return ConnectionShare(share, share)
+            return ConnectionShare(share, share, is_common=True)
         if self._board.clock() - self._asked_at_by_target.get(target.target, float('-inf')) < _ASKED_S:
             # Other instances know another list of members.
             return ConnectionShare(max(share // 2, 1), max(share // 2, 1))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -253,7 +253,7 @@
             self._board.clock() < self._full_until + _NO_KEEP_AFTER_FULL_S
             or self._board.uptime_s() < _NO_KEEP_AFTER_START_S
         )
-        return not is_scarce
+        return self._share.is_common or not is_scarce
 
     def _close_surplus(self) -> None:
         while self._idle and self.open_count() > self._share.max_kept:
