--- a/packages/fescuequay-core/fescuequay_core/relay/freshness.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/freshness.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self._terms_by_service: dict[ServiceId, Term] = {}
         self._samples_by_service: dict[ServiceId, collections.deque[Sample]] = {}
+        self._needed_at_by_service: dict[ServiceId, Instant] = {}
 
     def record(self, service: ServiceId, term: Term, sample: Sample) -> None:
         """Record a sample.
@@ -56,6 +57,10 @@
         samples = self._samples_by_service.get(service)
         return (self._terms_by_service[service], samples[-1]) if samples else None
 
+    def needed_since(self, not_before: Instant) -> tuple[ServiceId, ...]:
+        """:returns: The services of which a position has been needed since a given time."""
+        return tuple(service for service, at in self._needed_at_by_service.items() if at >= not_before)
+
     def oldest_since(self, service: ServiceId, not_before: Instant) -> Sample | None:
         """Find the least position that holds every commit acknowledged before a given time.
 
@@ -78,6 +83,7 @@
         :param began_at: When the read, or its transaction, arrived.
         :returns: The position and since when the primary has had it, or none when only the primary may serve.
         """
+        self._needed_at_by_service[route.service] = began_at
         sample = self.oldest_since(route.service, began_at - route.staleness_s)
         if sample is None or route.staleness_s <= 0:
             return None
--- a/packages/fescuequay-core/fescuequay_core/relay/permits.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/permits.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from fescuequay_core.relay.history import History
 from fescuequay_core.relay.model import LeaderRecord, MemberRecord
 from fescuequay_core.types import InstanceId, Instant, LeaderState, ServiceId
 
@@ -32,6 +33,7 @@
 
     def __init__(self) -> None:
         self._permits_by_service: dict[ServiceId, _Permit] = {}
+        self._history: History[ServiceId, LeaderRecord] = History()
 
     def observe(self, record: LeaderRecord, confirmed_at: Instant, written_by: Instant) -> bool:
         """Update the view from a record.
@@ -87,11 +89,31 @@
         """:returns: The newest known record of every service."""
         return tuple(permit.record for permit in self._permits_by_service.values())
 
+    def digest(self) -> str:
+        """:returns: Short digest of the newest known records."""
+        self._record_history()
+        return self._history.digest
+
+    def since(self, digest: str) -> tuple[LeaderRecord, ...] | None:
+        """Find what another instance lacks to know what this one knows.
+
+        :param digest: Digest of the records that it knows.
+        :returns: The records that it lacks, all its others being the same; nothing if it has to be sent all.
+        """
+        self._record_history()
+        difference = self._history.since(digest)
+        if difference is None:
+            return () if self._permits_by_service else None
+        return None if difference.is_whole or difference.removed else difference.changed
+
     def oldest_age_s(self, now: Instant) -> float:
         """:returns: Age of the oldest confirmation; infinite when nothing is known."""
         ages = [now - permit.confirmed_at for permit in self._permits_by_service.values()]
         return max(ages, default=float('inf'))
 
+    def _record_history(self) -> None:
+        self._history.record({service: permit.record for service, permit in self._permits_by_service.items()})
+
 
 class Confirmations:
     """Dates of the latest confirmations that other instances can have, which bound when their permits expire.
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -16,6 +16,7 @@
 from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.model import Configuration, LeaderRecord, MemberRecord, TargetDescription
 from fescuequay_core.relay.permits import Confirmations, Permits
+from fescuequay_core.relay.registry import Registry
 from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId, Instant, LeaderState, Role, ServiceId, TargetId
 
@@ -71,7 +72,7 @@
         self.clock = clock
         self._began_at = clock()
         self.configuration: Configuration | None = None
-        self.targets_by_id: dict[TargetId, TargetDescription] = {}
+        self.targets_by_id = Registry()
         self.has_targets = False
         self.evacuations = evacuations or Evacuations(_EVACUATION_S)
         self.feed_answered_at: dict[str, Instant] = {}
@@ -156,7 +157,7 @@
 
     def targets_of(self, service: ServiceId) -> Iterator[TargetDescription]:
         """:returns: The registered targets of a service."""
-        return (target for target in self.targets_by_id.values() if target.service == service)
+        return self.targets_by_id.of_service(service)
 
     def read_targets_of(self, service: ServiceId) -> Iterator[tuple[TargetDescription, bool]]:
         """:returns: The targets that may run reads, and for each whether it is the primary under a valid permit."""
@@ -201,6 +202,10 @@
         )
         self.buckets.set_member_count(self.member_count())
 
+    def record_targets(self) -> None:
+        """Record the registry as the present state of its history."""
+        self.targets_history.record(self.targets_by_id.get_all())
+
     def is_relayed(self) -> bool:
         """:returns: Whether the coordinator relays the configuration and the registry from recent reads."""
         return self.clock() < self.relayed_until
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine, Iterator, Mapping
-from typing import Any, Final
+from collections.abc import Coroutine, Iterable, Iterator, Mapping
+from typing import Any, Final, TypeAlias
 
 from fescuequay_core.relay import settlement
 from fescuequay_core.relay.failure_detector import Observation, PeerReport, PrimaryStatus, evaluate
@@ -69,6 +69,9 @@
 #: Time after a replacement during which roles from the registry may be outdated and are ignored, in seconds.
 _REGISTRY_LAG_S: Final = 1.0
 
+#: When a report about a primary arrived, and what it says, as in ``ExchangeRequest.observations``.
+_Report: TypeAlias = tuple[Instant, tuple[TargetId, float | None, bool, bool, bool]]
+
 
 class Coordinator:
     """Coordinates all instances while this one holds the coordinator lease.
@@ -87,6 +90,7 @@
         self._began_at = board.clock()
         self._token_pool = TokenPool(board.clock(), board.tolerance)
         self._observations: dict[InstanceId, tuple[Instant, ExchangeRequest]] = {}
+        self._reports_by_service: dict[str, list[_Report]] = {}
         self._replacements_by_service: dict[ServiceId, asyncio.Task[None]] = {}
         self._roles_ignored_until: dict[ServiceId, Instant] = {}
         self._cooldown_until: dict[ServiceId, Instant] = {}
@@ -118,6 +122,7 @@
             await self._remove_silent_members()
             await self._records.remove_leftovers()
         if board.lease.holds(board.clock()):
+            self._reports_by_service = self._index_reports()
             for service in self._services():
                 self._check_service(service)
 
@@ -147,16 +152,20 @@
             board.confirmations.record_sent(member.instance, now - record_age_s)
         else:
             self._table_read_at = float('-inf')
-        board.targets_history.record(board.targets_by_id)
+        board.record_targets()
+        records, records_since = self._records_since(request.records)
         return ExchangeAnswer(
             is_coordinator=True,
             duty=board.lease.record,
             is_listed=is_listed,
-            records=board.permits.records(),
+            records=records,
+            records_since=records_since,
             record_age_s=_rounded_up_age_s(record_age_s),
             members=board.members_history.since(request.members),
             supply=self.grant_tokens(request.supply) if request.supply else None,
-            samples=dict(self._position_samples(now)),
+            samples=dict(
+                self._position_samples(now, self._services() if request.positions is None else request.positions)
+            ),
             configuration_version=board.configuration.version if board.configuration else -1,
             targets=board.targets_history.since(request.targets),
             evacuated=self._evacuated(now),
@@ -235,8 +244,14 @@
             return None
         return _rounded_age_s(age_s), self._board.evacuations.ages_s(now)
 
-    def _position_samples(self, now: Instant) -> Iterator[tuple[str, PositionSample]]:
-        for service in self._services():
+    def _records_since(self, digest: str | None) -> tuple[tuple[LeaderRecord, ...], str | None]:
+        """:returns: The records that an instance does not know, and the digest of its own; or all, and nothing."""
+        permits = self._board.permits
+        changed = None if digest is None else permits.since(digest)
+        return (permits.records(), None) if changed is None else (changed, digest)
+
+    def _position_samples(self, now: Instant, services: Iterable[ServiceId]) -> Iterator[tuple[str, PositionSample]]:
+        for service in services:
             newest = self._board.samples.newest(service)
             if newest is not None:
                 term, sample = newest
@@ -347,12 +362,20 @@
     def _own_observation(self, target: TargetDescription) -> Observation:
         return observe(self._board, target)
 
+    def _index_reports(self) -> dict[str, list[_Report]]:
+        """:returns: The recent reports of the other instances, by service."""
+        oldest = self._board.clock() - _OBSERVATION_MAX_AGE_ROUNDS * exchange_interval_s(self._board.member_count())
+        reports_by_service: dict[str, list[_Report]] = {}
+        for received_at, request in self._observations.values():
+            if received_at > oldest:
+                for service, observation in request.observations.items():
+                    reports_by_service.setdefault(service, []).append((received_at, observation))
+        return reports_by_service
+
     def _recent_reports(self, record: LeaderRecord) -> Iterator[PeerReport]:
         now = self._board.clock()
-        oldest = now - _OBSERVATION_MAX_AGE_ROUNDS * exchange_interval_s(self._board.member_count())
-        for received_at, request in self._observations.values():
-            observation = request.observations.get(record.service)
-            if observation is not None and observation[0] == record.target and received_at > oldest:
+        for received_at, observation in self._reports_by_service.get(record.service, ()):
+            if observation[0] == record.target:
                 yield PeerReport(Observation(*observation[1:]), now - received_at)
 
     def _needs_probe(self, record: LeaderRecord, target: TargetDescription) -> bool:
@@ -462,3 +485,9 @@
     others = (board.health_of(other) for other in board.targets_of(target.service) if other != target)
     reaches_others = any(now - other.answered_at < RECENT_ANSWER_S for other in others)
     return Observation(failing_s, health.is_refusing, now - health.answered_at < RECENT_ANSWER_S, reaches_others)
+
+
+def has_observed(board: Board, target: TargetDescription) -> bool:
+    """:returns: Whether this instance has anything to report of a primary."""
+    health = board.health_of(target)
+    return health.failing_since is not None or board.clock() - health.answered_at < RECENT_ANSWER_S
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -261,6 +261,6 @@
             log_event('target_in_doubt', target=target, failed_s=round(self._missing.failed_s(now), 2))
 
     def _remove(self, target: TargetId) -> None:
-        if self._board.targets_by_id.pop(target, None) is not None:
+        if self._board.targets_by_id.remove(target):
             log_event('target_gone', target=target)
             self._board.changes.on_next('targets')
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -145,6 +145,7 @@
 
     def __init__(self) -> None:
         self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._swept_at = 0.0
 
     async def request(
         self,
@@ -195,8 +196,26 @@
         if connection.is_open:
             connection.idle_since = asyncio.get_running_loop().time()
             self._idle_by_address.setdefault(address, []).append(connection)
+            self._close_expired(connection.idle_since)
         return response
 
+    def _close_expired(self, now: float) -> None:
+        """Close connections to any address that have been idle for too long, so that none stays open for good."""
+        if now - self._swept_at < _KEEP_ALIVE_S / 2:
+            return
+        self._swept_at = now
+        for address, connections in tuple(self._idle_by_address.items()):
+            kept = []
+            for connection in connections:
+                if connection.is_open and connection.idle_since > now - _KEEP_ALIVE_S:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                self._idle_by_address.pop(address)
+
     def _take_idle(self, address: str) -> _Connection | None:
         oldest = asyncio.get_running_loop().time() - _KEEP_ALIVE_S
         connections = self._idle_by_address.get(address, [])
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
-from typing import Any, Final, TypeAlias
+from typing import Any, Final, TypeAlias, cast
 
 import httptools
 
@@ -20,6 +20,16 @@
 #: Backlog of connections that wait to be accepted: all peers may connect at once.
 _BACKLOG: Final = 256
 
+#: Most open connections of a listener; beyond them, the one that has been idle for longest is closed.
+_MAX_CONNECTIONS: Final = 2_048
+
+#: Most bytes of answers that wait to be sent on all connections of a listener; beyond them, requests are refused.
+_MAX_UNSENT_BYTES: Final = 16_777_216
+
+#: Time for which a client may leave an answer unread before its connection is reset, in seconds: those who ask have
+#: given up by then.
+_UNREAD_TIMEOUT_S: Final = 2.0
+
 #: Maximum length of an error in a log line.
 _DETAIL_CHARACTERS: Final = 120
 
@@ -54,6 +64,9 @@
     content_type: str = 'application/json'
 
 
+#: Refusal of a request whose answer would wait behind too many others.
+_OVERLOADED: Final = Answer(HTTPStatus.SERVICE_UNAVAILABLE)
+
 Handler: TypeAlias = Callable[[Request], Awaitable[Answer]]
 
 #: Handlers by method and path.
@@ -70,7 +83,7 @@
     def __init__(self, routes: Routes, keep_alive_s: float) -> None:
         self._routes = routes
         self._keep_alive_s = keep_alive_s
-        self._connections: set[_ServerConnection] = set()
+        self._connections = _Connections()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -93,14 +106,56 @@
         """Stop listening and close every connection."""
         if self._server is not None:
             self._server.close()
-        for connection in tuple(self._connections):
+        for connection in self._connections.all():
             connection.close()
 
 
+class _Connections:
+    """The connections of a listener in the order of their latest requests, and those with unsent answers."""
+
+    def __init__(self) -> None:
+        # A dict, because it keeps the order.
+        self._all: dict[_ServerConnection, None] = {}
+        self._blocked: set[_ServerConnection] = set()
+
+    def all(self) -> tuple['_ServerConnection', ...]:
+        """:returns: Every open connection."""
+        return tuple(self._all)
+
+    def add(self, connection: '_ServerConnection') -> None:
+        """Add a new connection, and close the one that has been idle for longest if there are too many."""
+        self._all[connection] = None
+        if len(self._all) > _MAX_CONNECTIONS:
+            idle = next((other for other in self._all if other.is_idle), None)
+            if idle is not None:
+                idle.abort('too many connections')
+
+    def remove(self, connection: '_ServerConnection') -> None:
+        """Forget a connection that has ended."""
+        self._all.pop(connection, None)
+        self._blocked.discard(connection)
+
+    def record_request(self, connection: '_ServerConnection') -> None:
+        """Note that a connection is in use."""
+        if connection in self._all:
+            self._all[connection] = self._all.pop(connection)
+
+    def set_blocked(self, connection: '_ServerConnection', *, is_blocked: bool) -> None:
+        """Note whether a connection has unsent bytes."""
+        if is_blocked:
+            self._blocked.add(connection)
+        else:
+            self._blocked.discard(connection)
+
+    def is_full(self) -> bool:
+        """:returns: Whether so much waits to be sent that no further request is answered."""
+        return sum(connection.unsent_bytes() for connection in self._blocked) > _MAX_UNSENT_BYTES
+
+
 class _ServerConnection(asyncio.Protocol):
     """One client's connection; the parser of the library calls the ``on_`` methods."""
 
-    def __init__(self, routes: Routes, keep_alive_s: float, connections: 'set[_ServerConnection]') -> None:
+    def __init__(self, routes: Routes, keep_alive_s: float, connections: _Connections) -> None:
         self._routes = routes
         self._keep_alive_s = keep_alive_s
         self._connections = connections
@@ -113,10 +168,25 @@
         self._requests: asyncio.Queue[tuple[Request, bool]] = asyncio.Queue()
         self._answering: asyncio.Task[None] | None = None
         self._closing: asyncio.TimerHandle | None = None
+        self._unread: asyncio.TimerHandle | None = None
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+        self._is_answering = False
+
+    @property
+    def is_idle(self) -> bool:
+        """:returns: Whether it has no request to answer, and nothing to send."""
+        return not self._is_answering and self._requests.empty() and self._may_write.is_set() and not self._size
+
+    def unsent_bytes(self) -> int:
+        """:returns: Size of what waits to be sent."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to answer requests."""
-        self._transport = transport  # type: ignore[assignment]
+        self._transport = cast(asyncio.Transport, transport)
+        # Any unsent byte counts as blocking, so that one answer at most waits to be sent.
+        self._transport.set_write_buffer_limits(high=0)
         self._sender = str((transport.get_extra_info('peername') or ('-',))[0])
         self._connections.add(self)
         self._answering = asyncio.ensure_future(self._answer_all())
@@ -124,13 +194,27 @@
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Stop answering."""
-        self._connections.discard(self)
+        self._connections.remove(self)
         self._transport = None
-        if self._closing is not None:
-            self._closing.cancel()
+        for timer in (self._closing, self._unread):
+            if timer is not None:
+                timer.cancel()
         if self._answering is not None:
             self._answering.cancel()
 
+    def pause_writing(self) -> None:
+        """Answer no further request until the client has read what was sent, and wait for that only so long."""
+        self._may_write.clear()
+        self._connections.set_blocked(self, is_blocked=True)
+        self._unread = asyncio.get_running_loop().call_later(_UNREAD_TIMEOUT_S, self.abort, 'answer unread')
+
+    def resume_writing(self) -> None:
+        """Answer requests again."""
+        self._may_write.set()
+        self._connections.set_blocked(self, is_blocked=False)
+        if self._unread is not None:
+            self._unread.cancel()
+
     def data_received(self, received: bytes) -> None:
         """Parse a part of a request."""
         self._restart_timer()
@@ -150,6 +234,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self, reason: str) -> None:
+        """Reset the connection, and drop what waits to be sent."""
+        if self._transport is not None:
+            log_event('connection_reset', sender=self._sender, reason=reason, unsent_bytes=self.unsent_bytes())
+            self._transport.abort()
+
     def on_message_begin(self) -> None:
         """Forget the request before."""
         self._url = b''
@@ -173,8 +263,12 @@
 
     async def _answer_all(self) -> None:
         while True:
+            self._is_answering = False
             request, is_kept = await self._requests.get()
-            answer = await self._answer(request)
+            self._is_answering = True
+            self._connections.record_request(self)
+            await self._may_write.wait()
+            answer = _OVERLOADED if self._connections.is_full() else await self._answer(request)
             if self._transport is None:
                 return
             self._transport.write(_encode(answer, is_kept=is_kept))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -14,7 +14,7 @@
 from fescuequay_core.relay.reach import Reach
 from fescuequay_core.types import InstanceId, Instant, LeaderState, ServiceId, TargetId, Term
 from fescuequay_entry.relay.board import Board, log_event
-from fescuequay_entry.relay.coordinator import Coordinator, observe
+from fescuequay_entry.relay.coordinator import Coordinator, has_observed, observe
 from fescuequay_entry.relay.era_table import EraChanged
 from fescuequay_entry.relay.followers import RELAYED_FEED_MAX_AGE_S, ConfigurationFollower, TargetFollower
 from fescuequay_entry.relay.messages import (
@@ -26,6 +26,7 @@
     SupplyAnswer,
     SupplyRequest,
 )
+from fescuequay_entry.relay.news import NewsSender
 from fescuequay_entry.relay.ports import PEER_TIMEOUT_S, PeerError, Peers, TableError
 from fescuequay_entry.relay.records import DutyLost, Records
 from fescuequay_entry.relay.replacement import drain_writes
@@ -55,6 +56,13 @@
 #: Interval between checks for that, as a fraction of the exchange interval.
 _PATH_CHECK_SHARE: Final = 0.25
 
+#: Number of leader records from which on an instance is sent only the changes of them, and only the positions that it
+#: has needed recently. Up to there, all of them are shorter than the rest of an answer.
+_MANY_RECORDS: Final = 32
+
+#: Time for which an instance is sent the positions of a service after it has needed one, in seconds.
+_POSITION_NEED_S: Final = 30.0
+
 #: Maximum random delay before acquiring the lease, in seconds, so that few instances try at the same time.
 _ACQUIRE_JITTER_S: Final = 0.12
 
@@ -95,7 +103,8 @@
         # When most instances last answered probes.
         self._others_answered_at: Instant = board.clock()
         self._reach = Reach()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._exchanging: set[str] = set()
+        self._news = NewsSender(peers)
 
     async def run(self) -> None:
         """Run rounds, path checks and the token supply until cancelled."""
@@ -271,7 +280,7 @@
         log_event('duty_resigned', token=self._board.lease.token)
         self._coordinator.stop()
         for member in self._others():
-            self._send_news(member.address, News(resigned=self._board.lease.token))
+            self._news.send(member.address, News(resigned=self._board.lease.token))
 
     async def _watch_path(self) -> None:
         """Probe other peers while neither the table nor a coordinator answers."""
@@ -286,12 +295,12 @@
         await self._records.read()
         news = News(duty=self._board.lease.record)
         for member in self._others():
-            self._send_news(member.address, news)
+            self._news.send(member.address, news)
         await self._coordinator.run_round()
 
     def _peers_to_probe(self) -> list[MemberRecord]:
         """:returns: Random instances, preferably of other data centres; they may know the coordinator."""
-        others = self._others()
+        others = [member for member in self._others() if member.address not in self._exchanging]
         far = [member for member in others if member.data_centre != self._board.own.data_centre] or others
         return random.sample(far, min(len(far), _PARALLEL_PROBES))
 
@@ -312,12 +321,17 @@
         """:returns: Whether the coordinator answered; nothing if there was no answer."""
         began_at = self._board.clock()
         token_request = None if is_probe else self._supply.delegate_share(address, began_at)
+        request = self._request(token_request)
+        known = self._board.permits.records() if request.records is not None else ()
+        self._exchanging.add(address)
         try:
-            answer = await self._peers.exchange(address, self._request(token_request))
+            answer = await self._peers.exchange(address, request)
         except PeerError as error:
             self._supply.record_failure(address, token_request, error)
             self._log_contact_lost('coordinator', str(error))
             return None
+        finally:
+            self._exchanging.discard(address)
         self._supply.record_answer(address)
         if answer.supply is not None:
             # A former coordinator still grants tokens from the shares that were delegated to it.
@@ -332,6 +346,10 @@
         if self._has_lost_contact:
             self._has_lost_contact = False
             log_event('coordinator_regained', address=address)
+        if answer.records_since is not None and answer.records_since == request.records:
+            # The records that it does not repeat are those that the digest stood for, not those known by now.
+            newest = {record.service: record for record in (*known, *answer.records)}
+            answer = dataclasses.replace(answer, records=tuple(newest.values()))
         self._apply_answer(answer, address, began_at)
         return True
 
@@ -341,7 +359,7 @@
         observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]] = {}
         for record in board.permits.records():
             target = board.targets_by_id.get(record.target)
-            if target is not None and record.state is LeaderState.LEADING:
+            if target is not None and record.state is LeaderState.LEADING and has_observed(board, target):
                 observation = observe(board, target)
                 if observation.failing_s is not None or observation.has_answered:
                     observations[record.service] = (target.target, *dataclasses.astuple(observation))
@@ -352,10 +370,18 @@
             observations,
             board.members_history.digest,
             token_request,
+            *self._needed_records(),
         )
 
+    def _needed_records(self) -> tuple[str | None, tuple[ServiceId, ...] | None]:
+        """:returns: Digest of the leader records and the services whose positions are needed; nothing for all."""
+        board = self._board
+        if len(board.permits.records()) < _MANY_RECORDS:
+            return None, None
+        return board.permits.digest(), board.samples.needed_since(board.clock() - _POSITION_NEED_S)
+
     def _targets_digest(self) -> str:
-        self._board.targets_history.record(self._board.targets_by_id)
+        self._board.record_targets()
         return self._board.targets_history.digest
 
     def _apply_answer(self, answer: ExchangeAnswer, address: str, began_at: Instant) -> None:
@@ -370,7 +396,7 @@
         if answer.configuration_version > held:
             self._configurations.request_version(answer.configuration_version, fallback_peer=address)
         elif answer.configuration_version < held:
-            self._send_news(address, News(held, board.own.peer_address))
+            self._news.send(address, News(held, board.own.peer_address))
         if answer.targets is not None:
             self._targets.adopt(answer.targets)
         if answer.evacuated is not None:
@@ -394,17 +420,6 @@
             known.pop(InstanceId(name), None)
         self._records.replace_members(known.values())
 
-    def _send_news(self, address: str, news: News) -> None:
-        task = asyncio.ensure_future(self._deliver_news(address, news))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _deliver_news(self, address: str, news: News) -> None:
-        try:
-            await self._peers.send_news(address, news)
-        except PeerError as error:
-            log_event('news_lost', address=address, detail=str(error))
-
     def _log_contact_lost(self, what: str, detail: str) -> None:
         if not self._has_lost_contact:
             self._has_lost_contact = True
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -7,7 +7,7 @@
 
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.model import Configuration, LeaderRecord, LeaseRecord, MemberRecord, TargetDescription
-from fescuequay_core.types import InstanceId, TargetId
+from fescuequay_core.types import InstanceId, ServiceId, TargetId
 
 #: Number of tokens. A negative one would allow larger stocks of tokens than the limit.
 TokenCount = Annotated[int, msgspec.Meta(ge=0)]
@@ -57,6 +57,8 @@
         whether it answered recently, and whether another target of the service did.
     :param members: Digest of the instances that it knows; the answer has changes only if the coordinator's differ.
     :param supply: Its token request, if it delegates its equal share of the limits to the receiver.
+    :param records: Digest of the leader records that it knows, so that the answer has changes only; nothing for all.
+    :param positions: Services whose positions it needs; nothing for all.
     """
 
     member: MemberRecord
@@ -65,6 +67,8 @@
     observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]]
     members: str
     supply: SupplyRequest | None = None
+    records: str | None = None
+    positions: tuple[ServiceId, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +95,9 @@
     :param duty: Newest lease record that it knows.
     :param is_listed: Whether the requester's row was in the table at the coordinator's latest read; only then may it
         act on the records.
-    :param records: Newest leader records.
+    :param records: Newest leader records, or those of them that the requester does not know.
+    :param records_since: Digest of the requester's records if all the others are still the newest; nothing if
+        ``records`` has every record.
     :param record_age_s: Seconds since they were known to be the newest.
     :param members: How the instances that share the limits differ from those that the requester knows.
     :param supply: Tokens, if the requester asked for some.
@@ -108,6 +114,7 @@
     duty: LeaseRecord | None = None
     is_listed: bool = False
     records: tuple[LeaderRecord, ...] = ()
+    records_since: str | None = None
     record_age_s: float = 0.0
     members: Difference[MemberRecord] | None = None
     supply: SupplyAnswer | None = None
