Confirm many leader records once for all answers within a moment

Cause: each of the coordinator's answers confirmed every record, of which there are as many as services. Change: from 32 records on, once in 20 ms; answers in between say that age, so a permit is dated earlier, never later.

--- a/features/bounds.feature
+++ b/features/bounds.feature
@@ -22,6 +22,16 @@
     When an instance learns of a newer record while its exchange is under way
     Then the answer confirms only the records that it knew when it asked
 
+  Scenario Outline: <services> records are confirmed <how>
+    Given a fleet of <services> services and 3 instances on the model
+    When the coordinator answers exchanges at 0, 10 and 30 ms
+    Then the records in its answers are <ages> ms old
+
+    Examples:
+      | services | how | ages |
+      | 40 | once for all answers within a moment | 0, 10, 0 |
+      | 2 | for each answer | 0, 0, 0 |
+
   Scenario: Messages do not grow with the number of services
     Given a fleet of 40 services and 10 instances on the model
     When it runs for 6 s in calm weather
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -133,6 +133,28 @@
     assert context.services - context.permitted == {ServiceId('s7')}, context.permitted
 
 
+@when('the coordinator answers exchanges at 0, 10 and 30 ms')
+def step_answers(context: Any) -> None:
+    async def run(world: World) -> None:
+        await world.start()
+        holder = next(one for one in world.instances.values() if one.board.lease.holds(world.loop.time()))
+        other = next(one.board.own for one in world.instances.values() if one is not holder)
+        member = holder.board.members_by_id[other.instance]
+        began_at = world.loop.time()
+        for at_s in (0.0, 0.01, 0.03):
+            await asyncio.sleep(began_at + at_s - world.loop.time())
+            answer = holder.membership.answer_exchange(ExchangeRequest(member, -1, '', {}, ''))
+            context.ages_ms.append(round(answer.record_age_s * 1000))
+
+    context.ages_ms = []
+    context.relay.run(run)
+
+
+@then('the records in its answers are {ages} ms old')
+def step_ages(context: Any, ages: str) -> None:
+    assert ', '.join(map(str, context.ages_ms)) == ages, context.ages_ms
+
+
 @when('it runs for {seconds:d} s in calm weather')
 def step_calm(context: Any, seconds: int) -> None:
     async def run(world: World) -> None:
--- a/packages/fescuequay-core/fescuequay_core/relay/permits.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/permits.py
@@ -35,6 +35,10 @@
         self._permits_by_service: dict[ServiceId, _Permit] = {}
         self._history: History[ServiceId, LeaderRecord] = History()
 
+    def __len__(self) -> int:
+        """:returns: Number of services of which a record is known."""
+        return len(self._permits_by_service)
+
     def observe(self, record: LeaderRecord, confirmed_at: Instant, written_by: Instant) -> bool:
         """Update the view from a record.
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -17,6 +17,7 @@
 from fescuequay_entry.relay.control_connections import ControlConnections
 from fescuequay_entry.relay.followers import FEED_COUNT, OPERATOR_FEED, RELAYED_FEED_MAX_AGE_S
 from fescuequay_entry.relay.messages import (
+    MANY_RECORDS,
     ExchangeAnswer,
     ExchangeRequest,
     PositionSample,
@@ -30,6 +31,9 @@
 #: Interval between the coordinator's reads of the whole table, in seconds. Instances rarely come and go.
 _TABLE_READ_INTERVAL_S: Final = 3.0
 
+#: Interval between two confirmations of many leader records, in seconds; answers in between are older by that.
+_CONFIRM_INTERVAL_S: Final = 0.02
+
 #: Time without a request after which an instance is marked as leaving, in seconds: it gets no more permits until it
 #: registers again, so no promoter waits for it. Registering again costs three table calls, so short silences are
 #: tolerated.
@@ -101,6 +105,7 @@
         self._renewed_at: Instant = float('-inf')
         self._table_read_at: Instant = float('-inf')
         self._lease_token = -1
+        self._confirmed_at: Instant = float('-inf')
 
     async def run_round(self) -> None:
         """Renew the lease, read the table and check every service, as each falls due.
@@ -176,9 +181,14 @@
     def confirm_records(self, now: Instant) -> None:
         """Confirm that the leader records are the newest, as far as the lease guarantees it.
 
+        Many records are confirmed once for all answers within a moment, which give the age of that.
+
         :param now: Present time.
         """
-        self._board.permits.confirm(self._board.permits.records(), self._records.confirmed_at(now))
+        pause_s = _CONFIRM_INTERVAL_S if len(self._board.permits) >= MANY_RECORDS else 0.0
+        if now >= self._confirmed_at + pause_s:
+            self._confirmed_at = now
+            self._board.permits.confirm(self._board.permits.records(), self._records.confirmed_at(now))
 
     def grant_tokens(self, request: SupplyRequest) -> SupplyAnswer:
         """Grant tokens to an instance that delegates its equal share to this one, coordinator or fallback supplier.
@@ -220,6 +230,7 @@
         # Taking the lease over required an unchanged row, so the previous holder had not renewed it since.
         self._board.confirmations.begin(min(now, self._records.previous_lease_until))
         self._observations.clear()
+        self._confirmed_at = float('-inf')
         self._table_read_at = float('-inf')
         self._renewed_at = float('-inf')
         self.stop()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -18,6 +18,7 @@
 from fescuequay_entry.relay.era_table import EraChanged
 from fescuequay_entry.relay.followers import RELAYED_FEED_MAX_AGE_S, ConfigurationFollower, TargetFollower
 from fescuequay_entry.relay.messages import (
+    MANY_RECORDS,
     CloseAnswer,
     CloseRequest,
     ExchangeAnswer,
@@ -56,10 +57,6 @@
 #: Interval between checks for that, as a fraction of the exchange interval.
 _PATH_CHECK_SHARE: Final = 0.25
 
-#: Number of leader records from which on an instance is sent only the changes of them, and only the positions that it
-#: has needed recently. Up to there, all of them are shorter than the rest of an answer.
-_MANY_RECORDS: Final = 32
-
 #: Time for which an instance is sent the positions of a service after it has needed one, in seconds.
 _POSITION_NEED_S: Final = 30.0
 
@@ -376,7 +373,7 @@
     def _needed_records(self) -> tuple[str | None, tuple[ServiceId, ...] | None]:
         """:returns: Digest of the leader records and the services whose positions are needed; nothing for all."""
         board = self._board
-        if len(board.permits.records()) < _MANY_RECORDS:
+        if len(board.permits) < MANY_RECORDS:
             return None, None
         return board.permits.digest(), board.samples.needed_since(board.clock() - _POSITION_NEED_S)
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -1,7 +1,7 @@
 """Messages between instances, encoded as JSON."""
 
 import dataclasses
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
@@ -9,6 +9,10 @@
 from fescuequay_core.relay.model import Configuration, LeaderRecord, LeaseRecord, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, ServiceId, TargetId
 
+#: Number of leader records from which on an instance is sent only the changes of them, and only the positions that it
+#: has needed recently. Up to there, all of them are shorter than the rest of an answer.
+MANY_RECORDS: Final = 32
+
 #: Number of tokens. A negative one would allow larger stocks of tokens than the limit.
 TokenCount = Annotated[int, msgspec.Meta(ge=0)]
 
