Find how many statements a target runs well from its answers

Cause: a target that started, recovered or was promoted was flooded or left idle, and one under load got as many statements as it has connections, so that the queue stood at the target, where nobody orders it. Change: AnswerPace (core) compares answer times by kind of work with undisturbed ones; it starts from the registry's slots, grows with quick answers, shrinks with slow ones, rejections and failures, and climbs from 2 after a restart. Pacing and PacedConnection feed it in TargetPool where a pace is given; Board.paces keeps one for each target. Pools without a pace behave as before.

--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -170,6 +170,8 @@
     :param data_centre: Where it runs.
     :param is_draining: Whether it is about to leave.
     :param role: Role that it reports for itself.
+    :param slots: Statements that it says it runs at a time; 0 if unknown. Not part of ``repr``, from which builds with
+        and without this field compute the digest of a list.
     """
 
     target: TargetId
@@ -179,6 +181,7 @@
     data_centre: str
     is_draining: bool
     role: Role
+    slots: int = dataclasses.field(default=0, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -15,6 +15,7 @@
 from fescuequay_core.relay.history import History
 from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.model import Configuration, LeaderRecord, MemberRecord, TargetDescription
+from fescuequay_core.relay.pace import PaceByTarget
 from fescuequay_core.relay.permits import Confirmations, Permits
 from fescuequay_core.relay.tokenpool import Tolerance
 from fescuequay_core.types import InstanceId, Instant, LeaderState, Role, ServiceId, TargetId
@@ -85,6 +86,7 @@
         self.confirmations = Confirmations()
         self.samples = Samples()
         self.health = HealthByTarget()
+        self._paces = PaceByTarget()
         self.buckets = Buckets()
         self.lease = CoordinatorLease(own.instance, own.incarnation)
         self.is_stopping = False
@@ -97,6 +99,11 @@
         self._waiters: dict[asyncio.Future[None], None] = {}
         self.changes.subscribe(self._on_change)
 
+    @property
+    def paces(self) -> PaceByTarget:
+        """:returns: Paces of the targets whose connections this instance holds for others."""
+        return self._paces
+
     def adopt(self, configuration: Configuration, source: str) -> bool:
         """Adopt a configuration if it is newer than the present one.
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -216,6 +216,8 @@
             self.metrics.record_age.set(self.board.permits.oldest_age_s(self.board.clock()))
             if self.board.configuration is not None:
                 self.metrics.configuration.set(self.board.configuration.version)
+            for target, limit in self.board.paces.limits(self.board.clock()):
+                self.metrics.target_limit.labels(target).set(limit)
             if _suspended_s() - gap_s > _SUSPENSION_THRESHOLD_S:
                 # Permits and token grants expire by the boot clock, so that they need no handling here.
                 log_event('machine_was_suspended', seconds=round(_suspended_s() - gap_s, 2))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -38,6 +38,12 @@
         self.configuration = Gauge(
             'fescuequay_configuration_version', 'Configuration in force.', registry=self.registry
         )
+        self.target_limit = Gauge(
+            'fescuequay_target_limit',
+            'Statements that may be at a target at a time.',
+            ('target',),
+            registry=self.registry,
+        )
 
     def record_statement(self, organisation: str, kind: StatementKind, outcome: str, took_s: float) -> None:
         """Record the outcome and duration of a statement, in seconds."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -13,6 +13,8 @@
 from fescuequay_core.types import OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.opening import Opening
+from fescuequay_entry.relay.paced import PacedDriver
+from fescuequay_entry.relay.pacing import Pacing
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 
 #: Connections of each target that are left free for status requests, promotions and newly started instances.
@@ -181,12 +183,12 @@
     ) -> None:
         super().__init__(target)
         self._board = board
-        self._driver = driver
         self._share_of = share_of
         self._idle: list[PooledConnection] = []
         self._held = 0
         self._line = ArrivalLine() if line is None else line
-        self.pace = Unpaced() if pace is None else pace
+        self._pacing = Pacing(board, target, pace or Unpaced(), self._active, self._wake_waiters)
+        self._driver = driver if pace is None else PacedDriver(driver, self._pacing)
         self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
@@ -194,8 +196,8 @@
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
-        limit = min(self._share.max_open, self.pace.limit(self._board.clock()))
-        return max(int(limit) - self._held, 0)
+        free = min(self._share.max_open - self._held, self._pacing.limit() - self._active())
+        return max(int(free), 0)
 
     def has_idle(self, organisation: OrganisationId) -> bool:
         """:returns: Whether there is an idle connection of an organisation."""
@@ -215,15 +217,19 @@
             await self._wait(statement)
         self._held += 1
         try:
-            return self._take_idle(statement.organisation) or await self._open(statement.organisation, statement.until)
+            idle = self._take_idle(statement.organisation)
+            pooled = idle or await self._open(statement.organisation, statement.until)
         except BaseException:
             self._held -= 1
             self._wake_waiters()
             raise
+        self._pacing.assign(pooled.connection, statement)
+        return pooled
 
     def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
         """Release a connection; one that is not clean is closed."""
         self._held -= 1
+        self._pacing.withdraw(pooled.connection)
         if is_clean and pooled.connection.is_open and not self.is_closed and self._may_keep():
             pooled.used_at = self._board.clock()
             self._idle.append(pooled)
@@ -248,6 +254,10 @@
                 pooled.connection.close()
         self._close_surplus()
 
+    def _active(self) -> int:
+        """:returns: Number of statements and openings that are at the target."""
+        return self._held - self._pacing.resting
+
     @property
     def _share(self) -> ConnectionShare:
         return self._share_of()
@@ -338,7 +348,7 @@
         except Refused as refusal:
             if refusal.reason.kind in {RefusalKind.TOO_MANY_CONNECTIONS, RefusalKind.OVERLOADED}:
                 self._full_until = self._board.clock() + _FULL_TARGET_PAUSE_S
-                self.pace.record_overload(self._board.clock())
+                self._pacing.record_overload()
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_AFTER_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
         return PooledConnection(connection, self.target, organisation, self)
