Give each gateway's pool a pace

Cause: the pace had no place where it applied yet. Change: Pools gives a target's pool a pace where gateways are used at all; it binds while this instance is a gateway of the target. Both gateways of a target divide its slots. The number of statements bounds the limit, not a parameter.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -2,7 +2,7 @@
   Its connections are held at one place, which sees all its work. What it can't run soon waits there, not at the target.
 
   Scenario Outline: A target with <slots> slots that says it has <told>, <case>
-    Given targets that run <slots> statements at a time and say <told>, with 53 connections
+    Given targets that run <slots> statements at a time and say <told>
     And after 4 s of the <before> mix and full load, the <after> mix at <slowness> times the time
     When they run under full load for 12 s
     Then they serve at least <share> of what they can
@@ -18,7 +18,7 @@
       | with many and no word of them   | 16    | 0    | usual  | usual | 1        | 0.70  | 32   |
 
   Scenario Outline: A target returns <case>
-    Given targets that run 4 statements at a time and say 4, with 53 connections
+    Given targets that run 4 statements at a time and say 4
     And after 4 s of the usual mix and full load, the usual mix at <slowness> times the time
     When they are <event> and run under full load for 2 s
     Then from 0.5 s on they serve at least <share> of what they can
@@ -31,7 +31,7 @@
       | and is slower until it's warm | restarted          | 1.6      | 0.9   |
 
   Scenario: Statements are turned away by a target that others fill
-    Given targets that run 4 statements at a time and say 4, with 53 connections
+    Given targets that run 4 statements at a time and say 4
     When one turns statements away three times, 0.2 s apart
     Then its limit is at most 2
     When it answers at once for 1 s
--- a/features/paced_pool.py
+++ b/features/paced_pool.py
@@ -47,7 +47,7 @@
             network.add(node, 'north')
         self.target = ModelTarget(network, random.Random(2), _TARGET, SLOTS, WORK_S, lambda _: None)
         self.board = Board(InstanceIdentity(InstanceId('i'), 'i1', 'north', 'i:1'), self.loop.time)
-        pace = PaceByTarget().of(_TARGET, connections, 0.0) if is_paced else None
+        pace = PaceByTarget().of(_TARGET, 0.0) if is_paced else None
         self.pool = TargetPool(
             self.board,
             ModelDriver(network, {_TARGET.address: self.target}, 'i'),
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -15,15 +15,14 @@
 
 #: Schedules over which an outcome is averaged: statements differ much in work.
 _SEEDS = range(8)
-_CONNECTIONS = 53
 
 #: Statements that a target with one slot of ``WORK_S`` serves a second; their work is spread with a factor of 0.5.
 _SLOT_RATE_PER_S = 1 / (WORK_S * math.exp(0.5**2 / 2))
 
 
-@given('targets that run {slots:d} statements at a time and say {told:d}, with {connections:d} connections')
-def step_targets(context: Any, slots: int, told: int, connections: int) -> None:
-    context.targets = [PacedTarget(AnswerPace(told, connections), slots, seed=seed) for seed in _SEEDS]
+@given('targets that run {slots:d} statements at a time and say {told:d}')
+def step_targets(context: Any, slots: int, told: int) -> None:
+    context.targets = [PacedTarget(AnswerPace(told), slots, seed=seed) for seed in _SEEDS]
 
 
 @given('after {seconds:g} s of the {before} mix and full load, the {after} mix at {slowness:g} times the time')
@@ -143,14 +142,14 @@
 @given('the pace of a target that has found a limit of {limit:d}')
 def step_found(context: Any, limit: int) -> None:
     context.paces, context.now = PaceByTarget(), 0.0
-    context.pace = context.paces.of(_description(1), _CONNECTIONS, 0.0)
+    context.pace = context.paces.of(_description(1), 0.0)
     while context.pace.limit(context.now) < limit:
         _answer(context, 1)
 
 
 @when('another incarnation of it is seen')
 def step_incarnation(context: Any) -> None:
-    context.pace = context.paces.of(_description(2), _CONNECTIONS, context.now)
+    context.pace = context.paces.of(_description(2), context.now)
 
 
 @when('it is restarted and fails by turns for {seconds:g} s')
--- a/packages/fescuequay-core/fescuequay_core/relay/gateways.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/gateways.py
@@ -13,7 +13,7 @@
 _SCARCE_BELOW: Final = 2.0
 
 #: Number of gateways of a target; the organisations are divided among them.
-_GATEWAYS_OF_TARGET: Final = 2
+GATEWAYS_OF_TARGET: Final = 2
 
 #: Preference for larger instances: the exponent of the capacity in the weight.
 _SIZE_PREFERENCE: Final = 2.0
@@ -109,11 +109,11 @@
 def _choose_in_data_centre(
     targets: list[TargetId], members: list[MemberRecord]
 ) -> Iterator[tuple[TargetId, tuple[InstanceId, ...]]]:
-    places_by_instance = _places(len(targets) * _GATEWAYS_OF_TARGET, members)
+    places_by_instance = _places(len(targets) * GATEWAYS_OF_TARGET, members)
     for target in targets:
         free = [member for member in members if places_by_instance[member.instance] > 0]
         ranked = sorted((-_score(target, member), member.instance) for member in free)
-        gateways = tuple(instance for _, instance in ranked[:_GATEWAYS_OF_TARGET])
+        gateways = tuple(instance for _, instance in ranked[:GATEWAYS_OF_TARGET])
         for instance in gateways:
             places_by_instance[instance] -= 1
         yield target, gateways
--- a/packages/fescuequay-core/fescuequay_core/relay/pace.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/pace.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Hashable, Iterator
+from collections.abc import Callable, Hashable, Iterator
 from typing import Final
 
 from fescuequay_core.relay.answer_times import AnswerTimes
@@ -139,15 +139,13 @@
     undisturbed time, the limit is lowered for a window from time to time.
 
     :param slots: Statements that the target says it runs at a time; 0 if it does not say so.
-    :param connections: Upper bound of the limit.
     """
 
-    def __init__(self, slots: int, connections: int) -> None:
+    def __init__(self, slots: int) -> None:
         guess = slots or _UNKNOWN_SLOTS
         # Up to its slots, no statement waits for another one.
         self._quiet = guess
-        self._most = float(max(connections, 1))
-        self._found = min(guess + _MARGIN, self._most)
+        self._found = guess + _MARGIN
         self._limit = min(_FIRST_LIMIT, self._found)
         self._is_climbing = True
         self._answers_since_quiet = 0
@@ -251,7 +249,7 @@
         self._is_climbing = False
 
     def _set(self, limit: float, cause: PaceCause) -> None:
-        self._limit = min(max(limit, _MIN_LIMIT), self._most)
+        self._limit = max(limit, _MIN_LIMIT)
         self._lowest = min(self._lowest, self._limit)
         self._cause = cause
         self._begin_window()
@@ -261,22 +259,57 @@
         self._most_in_flight = 0
 
 
+class PaceWhileHolding(Pace):
+    """Applies a pace while this instance holds the target's connections for others, and learns at other times too.
+
+    :param pace: The pace.
+    :param is_holder: Returns whether it holds them now.
+    """
+
+    def __init__(self, pace: Pace, is_holder: Callable[[], bool]) -> None:
+        self._pace = pace
+        self._is_holder = is_holder
+
+    def limit(self, now: Instant) -> float:
+        """:returns: Statements and openings of connections that may be at the target at a time."""
+        return self._pace.limit(now) if self._is_holder() else math.inf
+
+    def record_answer(self, now: Instant, took_s: float, in_flight: int, kind: Hashable = None) -> None:
+        """Record a statement that ran."""
+        self._pace.record_answer(now, took_s, in_flight, kind)
+
+    def record_overload(self, now: Instant) -> None:
+        """Record that the target turned work away."""
+        self._pace.record_overload(now)
+
+    def record_failure(self, now: Instant) -> None:
+        """Record that the target did not answer."""
+        self._pace.record_failure(now)
+
+    def restart(self, now: Instant) -> None:
+        """Begin anew."""
+        self._pace.restart(now)
+
+    def take_changes(self, now: Instant) -> Iterator[PaceChange]:
+        """:returns: The pace's changes while it applies."""
+        return self._pace.take_changes(now) if self._is_holder() else iter(())
+
+
 class PaceByTarget:
     """Pace by target, kept over its incarnations, so that what was learnt of a flapping target is not lost."""
 
     def __init__(self) -> None:
         self._paces_by_target: dict[TargetId, tuple[int, AnswerPace]] = {}
 
-    def of(self, target: TargetDescription, connections: int, now: Instant, holders: int = 1) -> Pace:
+    def of(self, target: TargetDescription, now: Instant, holders: int = 1) -> Pace:
         """:returns: The pace of a target, restarted if this is another incarnation than before.
 
         :param target: The target.
-        :param connections: Upper bound of the limit.
         :param now: Present time.
         :param holders: Number of instances that divide the target's work among them, each with a pace.
         """
         known = self._paces_by_target.get(target.target)
-        pace = known[1] if known is not None else AnswerPace(math.ceil(target.slots / holders), connections)
+        pace = known[1] if known is not None else AnswerPace(math.ceil(target.slots / holders))
         if known is not None and known[0] != target.born_ms:
             pace.restart(now)
         self._paces_by_target[target.target] = (target.born_ms, pace)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway_directory.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway_directory.py
@@ -58,6 +58,10 @@
             self._choose()
         return self._gateways_by_target.get(target.target, ())
 
+    def is_gateway(self, target: TargetDescription) -> bool:
+        """:returns: Whether this instance is a gateway of a target."""
+        return self._board.own.instance in self.gateways_of(target)
+
     def share_of(self, target: TargetDescription) -> ConnectionShare:
         """:returns: This instance's share of a target's connections."""
         usable = self._usable_connections(target)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,11 +6,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from fescuequay_core.relay.gateways import GATEWAYS_OF_TARGET
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription
-from fescuequay_core.relay.pace import Pace, Unpaced
+from fescuequay_core.relay.pace import Pace, PaceWhileHolding, Unpaced
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, TargetId
+
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.gateway_directory import ConnectionShare, GatewayDirectory
 from fescuequay_entry.relay.opening import Opening
@@ -424,7 +426,11 @@
 
     def _new_pool(self, target: TargetDescription) -> TargetPool:
         """:returns: A pool for a target; the one place that decides its waiting line and its pace."""
-        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+        pace = None
+        if self._gateway_source is not None:
+            found = self._board.paces.of(target, self._board.clock(), GATEWAYS_OF_TARGET)
+            pace = PaceWhileHolding(found, lambda: self._directory.is_gateway(target))
+        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target), pace=pace)
 
 
 def _is_different_incarnation(known: TargetDescription, present: TargetDescription) -> bool:
