Draw among targets whose connections are held in common

Cause: instances that choose by the same figures all run to the same target until the next figures arrive. Change: where all candidates of a read are held in common and the best isn't idle, each of its class is drawn with odds by expected time; others keep the ranking exactly.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -76,3 +76,8 @@
       | case                  |
       | is silent for 0.5 s   |
       | is promoted           |
+
+  Scenario: The demand of three data centres swings by 0.55, and all instances choose by the same figures
+    When a wave of demand is played for 26 s, with the draw and without it
+    Then no target has more than 1.5 times the mean use for over 1 s
+    And statements wait at most 0.85 times as long with the draw
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -9,6 +9,7 @@
 
 from features.paced_pool import SLOTS, WORK_S, PacedPool
 from features.paced_target import FixedPace, PacedTarget
+from features.uneven_demand import play_wave
 from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.relay.pace import AnswerPace, PaceByTarget, PaceCause
 from fescuequay_core.types import Role, ServiceId, TargetId
@@ -239,3 +240,23 @@
 @then('a restart of the pace is logged')
 def step_restart_logged(context: Any) -> None:
     assert any(pairs['cause'] == 'restart' for pairs in context.logged), context.logged
+
+
+@when('a wave of demand is played for {seconds:d} s, with the draw and without it')
+def step_wave(context: Any, seconds: int) -> None:
+    context.waves = {
+        is_drawn: [play_wave(seconds, is_drawn=is_drawn, seed=seed) for seed in range(3)] for is_drawn in (True, False)
+    }
+
+
+@then('no target has more than {factor:g} times the mean use for over {seconds:d} s')
+def step_even(context: Any, factor: float, seconds: int) -> None:
+    assert max(wave.longest_uneven_s(factor) for wave in context.waves[True]) <= seconds
+
+
+@then('statements wait at most {factor:g} times as long with the draw')
+def step_waits(context: Any, factor: float) -> None:
+    drawn, best = (
+        sum(sum(wave.waits_s) / len(wave.waits_s) for wave in context.waves[is_drawn]) for is_drawn in (True, False)
+    )
+    assert drawn <= factor * best, (drawn, best)
--- a/packages/fescuequay-core/fescuequay_core/relay/placement.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/placement.py
@@ -20,6 +20,9 @@
 #: expected time is longer by more than this.
 _PRIMARY_PENALTY_S: Final = 0.12
 
+#: Exponent of the expected times in the odds of targets whose connections are held in common.
+_SHARPNESS: Final = 1.5
+
 #: Age from which a healthy replica is expected to have received and applied a commit, in seconds.
 REPLICATION_DELAY_S: Final = 0.2
 
@@ -34,6 +37,7 @@
     :param waiting: Statements of this instance that wait for a connection to it.
     :param is_primary: Whether it leads the service.
     :param has_connection: Whether an idle connection is authenticated for the statement's organisation.
+    :param is_shared: Whether its connections are held in common; other instances choose by the same figures then.
     """
 
     target: TargetDescription
@@ -42,9 +46,17 @@
     waiting: int
     is_primary: bool
     has_connection: bool = True
+    is_shared: bool = False
+
+    def is_idle(self) -> bool:
+        """:returns: Whether a statement that is sent now would not wait."""
+        return self.waiting == 0 and self.available > 0
 
     def expected_s(self) -> float:
         """:returns: Expected time until a statement that is sent now has been answered."""
+        if self.is_shared and self.target.slots:
+            # What runs there is known for all instances together.
+            return self.health.statement_s * (1 + self.waiting / self.target.slots)
         ahead = self.health.in_flight + self.waiting
         connections = max(self.health.in_flight + self.available, 1)
         opening_s = 0.0 if self.has_connection else self.health.connect_s * _OPENING_COST_FACTOR
@@ -64,18 +76,52 @@
             those that are paused because they do not answer last of all.
     """
 
-    def cost(candidate: Candidate) -> tuple[bool, bool, float]:
-        expected_s = candidate.expected_s()
-        if candidate.target.data_centre != data_centre:
-            expected_s += _REMOTE_PENALTY_S
-        is_behind = not candidate.is_primary and (not is_replicated or now < candidate.health.behind_until)
-        if candidate.is_primary or is_behind:
-            expected_s += _PRIMARY_PENALTY_S
-        if is_behind:
-            expected_s += _PRIMARY_PENALTY_S
-        return not candidate.health.is_usable(now), now < candidate.health.faulty_until, expected_s
-
-    yield from sorted(candidates, key=cost)
+    yield from sorted(candidates, key=lambda one: _cost(one, data_centre, now, is_replicated=is_replicated))
+
+
+def pick(
+    candidates: Iterable[Candidate], data_centre: str, now: Instant, draw: float, *, is_replicated: bool
+) -> Candidate | None:
+    """Pick the target of a read.
+
+    Instances that choose by the same figures would all run to the same target until the next figures arrive. So under
+    load, the others of its class are picked as often as their expected times deserve.
+
+    :param candidates: Targets that are neither draining nor gone.
+    :param data_centre: Where this instance runs.
+    :param now: Present time.
+    :param draw: Random number from 0 to 1.
+    :param is_replicated: Whether the required position is old enough for a healthy replica to have it.
+    :returns: The target; nothing without candidates.
+    """
+    ranked = tuple(rank(candidates, data_centre, now, is_replicated=is_replicated))
+    if not ranked or ranked[0].is_idle() or not all(candidate.is_shared for candidate in ranked):
+        return next(iter(ranked), None)
+    costs = [_cost(candidate, data_centre, now, is_replicated=is_replicated) for candidate in ranked]
+    alike = [
+        (candidate, cost[2] ** -_SHARPNESS)
+        for candidate, cost in zip(ranked, costs, strict=True)
+        if cost[:2] == costs[0][:2]
+    ]
+    left = draw * sum(weight for _, weight in alike)
+    for candidate, weight in alike:
+        left -= weight
+        if left < 0:
+            return candidate
+    return ranked[0]
+
+
+def _cost(candidate: Candidate, data_centre: str, now: Instant, *, is_replicated: bool) -> tuple[bool, bool, float]:
+    """:returns: Whether it is paused, whether it fails statements, and its expected time with penalties."""
+    expected_s = candidate.expected_s()
+    if candidate.target.data_centre != data_centre:
+        expected_s += _REMOTE_PENALTY_S
+    is_behind = not candidate.is_primary and (not is_replicated or now < candidate.health.behind_until)
+    if candidate.is_primary or is_behind:
+        expected_s += _PRIMARY_PENALTY_S
+    if is_behind:
+        expected_s += _PRIMARY_PENALTY_S
+    return not candidate.health.is_usable(now), now < candidate.health.faulty_until, expected_s
 
 
 def exclude_tried(candidates: Iterable[Candidate], tried: frozenset[TargetId]) -> Iterator[Candidate]:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway_source.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway_source.py
@@ -21,6 +21,8 @@
     :param metrics: Counts outcomes.
     """
 
+    is_shared = True
+
     def __init__(
         self,
         board: Board,
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -114,8 +114,11 @@
     """Where statements get connections to one incarnation of a target.
 
     :param target: The target.
+    :cvar is_shared: Whether other instances use the same connections.
     """
 
+    is_shared = False
+
     def __init__(self, target: TargetDescription) -> None:
         self.target = target
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -1,5 +1,6 @@
 """Selects the target of an operation and limits the wait for one."""
 
+import random
 from typing import Final
 
 from fescuequay_core.relay import placement, refusals
@@ -145,11 +146,14 @@
                 pool = self._pools.source_of(target)
                 has_idle = pool.has_idle(operation.organisation)
                 candidates.append(
-                    placement.Candidate(target, health, pool.available(), pool.waiting(), is_primary, has_idle)
+                    placement.Candidate(
+                        target, health, pool.available(), pool.waiting(), is_primary, has_idle, pool.is_shared
+                    )
                 )
         is_replicated = required is not None and now - required[1] >= placement.REPLICATION_DELAY_S
         untried = placement.exclude_tried(placement.exclude_silent(candidates, now), frozenset(tried))
-        best = next(placement.rank(untried, self._board.own.data_centre, now, is_replicated=is_replicated), None)
+        draw = random.random()  # noqa: S311 -- spreads reads, no secret
+        best = placement.pick(untried, self._board.own.data_centre, now, draw, is_replicated=is_replicated)
         leader = self._board.leader(operation.route.service)
         if best is None or (best.is_primary and leader is None):
             return None
