Send the callers of a silent target elsewhere at once

Change: a pool with a pace refuses statements as TargetLost while its target is silent and paused, or is being tried by one of them; those that wait are woken.

--- a/features/paced_pool.py
+++ b/features/paced_pool.py
@@ -56,6 +56,7 @@
             pace=pace,
         )
         self.took_s: list[float] = []
+        self.refused_after_s = 0.0
         self.most_at_target = 0
         self._at_target = 0
         self.pace = pace or Unpaced()
@@ -80,9 +81,11 @@
     async def read_until(self, until: float) -> None:
         """Read again and again, as a statement runner does."""
         while self.board.clock() < until:
+            began_at = self.board.clock()
             try:
                 pooled = await self.pool.acquire(self.waiting_statement())
             except (Refused, TargetLost):
+                self.refused_after_s += self.board.clock() - began_at
                 await asyncio.sleep(0.02)
                 continue
             self.pool.release(pooled, is_clean=await self._read(pooled))
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -182,11 +182,13 @@
     _play(context, count, seconds)
 
 
-@when('{count:d} callers run reads for {seconds:g} s, and after 2 s the target is silent for 0.5 s')
-def step_reads_silence(context: Any, count: int, seconds: float) -> None:
+@when('{count:d} callers run reads for {seconds:g} s, and after 2 s the target is silent for {silent_s:g} s')
+def step_reads_silence(context: Any, count: int, seconds: float, silent_s: float) -> None:
     async def silence() -> None:
         await asyncio.sleep(2)
-        await context.paced_pool.silence_for(0.5)
+        context.paced_pool.refused_after_s = 0.0
+        await context.paced_pool.silence_for(silent_s)
+        context.waited_s = context.paced_pool.refused_after_s
 
     _play(context, count, seconds, silence())
 
@@ -237,6 +239,11 @@
     step_answers_given(context)
 
 
+@then('while it is silent, callers wait for at most {most:g} s in all')
+def step_waited(context: Any, most: float) -> None:
+    assert 0 < context.waited_s <= most, context.waited_s
+
+
 @then('a restart of the pace is logged')
 def step_restart_logged(context: Any) -> None:
     assert any(pairs['cause'] == 'restart' for pairs in context.logged), context.logged
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pacing.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pacing.py
@@ -1,6 +1,7 @@
 """Feeds the pace of a target with what its connections meet, and counts the connections that are at rest."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Hashable
 from typing import Final, TypeVar
 
@@ -61,6 +62,10 @@
         self._notice_promotion()
         return self._pace.limit(self._board.clock())
 
+    def is_paced(self) -> bool:
+        """:returns: Whether the statements at the target are limited."""
+        return self.limit() < math.inf
+
     def assign(self, connection: TargetConnection, statement: WaitingStatement) -> None:
         """Note for which statement a connection is used next."""
         work = (statement.priority, round(statement.aim_at - statement.arrived_at, _AIM_DIGITS))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -213,8 +213,10 @@
 
     async def acquire(self, statement: WaitingStatement) -> PooledConnection:
         """Acquire a connection, in the order of the waiting line."""
+        self._require_answering()
         if self.available() == 0 or len(self._line):
             await self._wait(statement)
+            self._require_answering()
         self._held += 1
         try:
             idle = self._take_idle(statement.organisation)
@@ -254,6 +256,17 @@
                 pooled.connection.close()
         self._close_surplus()
 
+    def _require_answering(self) -> None:
+        """:raises TargetLost: The target is silent, so its callers do better elsewhere than in the line."""
+        if self._is_silent():
+            raise TargetLost(f'{self.target.target} does not answer')
+
+    def _is_silent(self) -> bool:
+        """:returns: Whether the target gave no sign of itself and is not to be tried now, or is being tried."""
+        health = self._board.health_of(self.target)
+        is_tried = self._active() > 0 or not health.is_usable(self._board.clock())
+        return health.is_silent and is_tried and self._pacing.is_paced()
+
     def _active(self) -> int:
         """:returns: Number of statements and openings that are at the target."""
         return self._held - self._pacing.resting
@@ -292,7 +305,8 @@
             self._wakers_by_statement.pop(statement)
 
     def _wake_waiters(self) -> None:
-        free = self.available()
+        # Nobody waits for a silent target.
+        free = len(self._line) if self._is_silent() else self.available()
         for statement in self._line.in_order(self._board.clock()):
             if free <= 0:
                 return
