Let a gateway whose target is silent turn statements away

Cause: the refusal of a gateway's silent target counted at the sender as a failure of the target, though only the path from the gateway may be at fault.

--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -30,7 +30,7 @@
 from fescuequay_entry.relay.hops import HopLink, HopReceiver
 from fescuequay_entry.relay.metrics import GatewayMetrics
 from fescuequay_entry.relay.pool import PooledConnection, Pools
-from fescuequay_entry.relay.ports import Outcome, TargetLost
+from fescuequay_entry.relay.ports import Outcome, TargetLost, TargetSilent
 
 #: Timeout for setting session values and preparing a statement, in seconds.
 _PREPARE_TIMEOUT_S: Final = 0.5
@@ -205,6 +205,9 @@
                 detail=refusal.detail,
                 retry_after_s=refusal.retry_after_s,
             )
+        except TargetSilent as error:
+            # The path from here may be at fault: the sender tries another one before it takes the target for silent.
+            answer = Answer(ask.number, Fate.TURNED_AWAY, detail=str(error))
         except (TargetLost, TimeoutError) as error:
             fate = Fate.LOST if ask.number in self._sent_numbers else Fate.NOT_SENT
             answer = Answer(ask.number, fate, detail=str(error) or 'the target did not answer in time')
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -18,7 +18,7 @@
 from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.paced import PacedDriver
 from fescuequay_entry.relay.pacing import Pacing
-from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost, TargetSilent
 
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
@@ -257,9 +257,9 @@
         self._close_surplus()
 
     def _require_answering(self) -> None:
-        """:raises TargetLost: The target is silent, so its callers do better elsewhere than in the line."""
+        """:raises TargetSilent: Its callers do better elsewhere than in the line."""
         if self._is_silent():
-            raise TargetLost(f'{self.target.target} does not answer')
+            raise TargetSilent(f'{self.target.target} does not answer')
 
     def _is_silent(self) -> bool:
         """:returns: Whether the target gave no sign of itself and is not to be tried now, or is being tried."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -213,6 +213,10 @@
     concerns_target = False
 
 
+class TargetSilent(TargetLost):
+    """The target gave no sign of itself to this instance of late, so nothing was tried."""
+
+
 class GatewayTurnedAway(NotSent):
     """A gateway doesn't serve the target now, or was not reached; the statement has certainly not run."""
 
