--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,15 +6,19 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from fescuequay_core.relay.gateways import GATEWAYS_OF_TARGET
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription
-from fescuequay_core.relay.pace import Pace, Unpaced
+from fescuequay_core.relay.pace import Pace, PaceWhileHolding, Unpaced
 from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, TargetId
+
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.gateway_directory import ConnectionShare, GatewayDirectory
 from fescuequay_entry.relay.opening import Opening
-from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+from fescuequay_entry.relay.paced import PacedDriver
+from fescuequay_entry.relay.pacing import Pacing
+from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost, TargetSilent
 
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
@@ -110,8 +114,11 @@
     """Where statements get connections to one incarnation of a target.
 
     :param target: The target.
+    :cvar is_shared: Whether other instances use the same connections.
     """
 
+    is_shared = False
+
     def __init__(self, target: TargetDescription) -> None:
         self.target = target
 
@@ -176,12 +183,12 @@
     ) -> None:
         super().__init__(target)
         self._board = board
-        self._driver = driver
         self._share_of = share_of
         self._idle: list[PooledConnection] = []
         self._held = 0
         self._line = ArrivalLine() if line is None else line
-        self.pace = Unpaced() if pace is None else pace
+        self._pacing = Pacing(board, target, pace or Unpaced(), self._active, self._wake_waiters)
+        self._driver = driver if pace is None else PacedDriver(driver, self._pacing)
         self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
@@ -189,8 +196,8 @@
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
-        limit = min(self._share.max_open, self.pace.limit(self._board.clock()))
-        return max(int(limit) - self._held, 0)
+        free = min(self._share.max_open - self._held, self._pacing.limit() - self._active())
+        return max(int(free), 0)
 
     def has_idle(self, organisation: OrganisationId) -> bool:
         """:returns: Whether there is an idle connection of an organisation."""
@@ -206,19 +213,25 @@
 
     async def acquire(self, statement: WaitingStatement) -> PooledConnection:
         """Acquire a connection, in the order of the waiting line."""
+        self._require_answering()
         if self.available() == 0 or len(self._line):
             await self._wait(statement)
+            self._require_answering()
         self._held += 1
         try:
-            return self._take_idle(statement.organisation) or await self._open(statement.organisation, statement.until)
+            idle = self._take_idle(statement.organisation)
+            pooled = idle or await self._open(statement.organisation, statement.until)
         except BaseException:
             self._held -= 1
             self._wake_waiters()
             raise
+        self._pacing.assign(pooled.connection, statement)
+        return pooled
 
     def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
         """Release a connection; one that is not clean is closed."""
         self._held -= 1
+        self._pacing.withdraw(pooled.connection)
         if is_clean and pooled.connection.is_open and not self.is_closed and self._may_keep():
             pooled.used_at = self._board.clock()
             self._idle.append(pooled)
@@ -243,6 +256,21 @@
                 pooled.connection.close()
         self._close_surplus()
 
+    def _require_answering(self) -> None:
+        """:raises TargetSilent: Its callers do better elsewhere than in the line."""
+        if self._is_silent():
+            raise TargetSilent(f'{self.target.target} does not answer')
+
+    def _is_silent(self) -> bool:
+        """:returns: Whether the target gave no sign of itself and is not to be tried now, or is being tried."""
+        health = self._board.health_of(self.target)
+        is_tried = self._active() > 0 or not health.is_usable(self._board.clock())
+        return health.is_silent and is_tried and self._pacing.is_paced()
+
+    def _active(self) -> int:
+        """:returns: Number of statements and openings that are at the target."""
+        return self._held - self._pacing.resting
+
     @property
     def _share(self) -> ConnectionShare:
         return self._share_of()
@@ -277,7 +305,8 @@
             self._wakers_by_statement.pop(statement)
 
     def _wake_waiters(self) -> None:
-        free = self.available()
+        # Nobody waits for a silent target.
+        free = len(self._line) if self._is_silent() else self.available()
         for statement in self._line.in_order(self._board.clock()):
             if free <= 0:
                 return
@@ -333,7 +362,7 @@
         except Refused as refusal:
             if refusal.reason.kind in {RefusalKind.TOO_MANY_CONNECTIONS, RefusalKind.OVERLOADED}:
                 self._full_until = self._board.clock() + _FULL_TARGET_PAUSE_S
-                self.pace.record_overload(self._board.clock())
+                self._pacing.record_overload()
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_AFTER_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
         return PooledConnection(connection, self.target, organisation, self)
@@ -414,7 +443,11 @@
 
     def _new_pool(self, target: TargetDescription) -> TargetPool:
         """:returns: A pool for a target; the one place that decides its waiting line and its pace."""
-        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+        pace = None
+        if self._gateway_source is not None:
+            found = self._board.paces.of(target, self._board.clock(), GATEWAYS_OF_TARGET)
+            pace = PaceWhileHolding(found, lambda: self._directory.is_gateway(target))
+        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target), pace=pace)
 
 
 def _is_different_incarnation(known: TargetDescription, present: TargetDescription) -> bool:
