--- a/packages/fescuequay-core/fescuequay_core/relay/waiting.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/waiting.py
@@ -16,7 +16,8 @@
     :param arrived_at: When its operation arrived at the first instance.
     :param aim_at: When it should be answered.
     :param until: When it must have got a connection, or it is refused.
-    :param is_continued: Whether it belongs to a transaction that has already run statements elsewhere.
+    :param is_continued: Whether it belongs to an open transaction, which already holds its connection.
+    :param opens_transaction: Whether the connection will be held for a transaction.
     """
 
     organisation: OrganisationId
@@ -25,6 +26,23 @@
     aim_at: Instant
     until: Instant
     is_continued: bool = False
+    opens_transaction: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dismissal:
+    """A waiting statement that is refused now, and what was known then.
+
+    :param statement: The statement.
+    :param waiting: Number of statements that waited, this one included.
+    :param expected_wait_s: Expected wait for its turn, in seconds; infinite if it would never get one.
+    :param retry_after_s: Time after which a new try has room, in seconds.
+    """
+
+    statement: WaitingStatement
+    waiting: int
+    expected_wait_s: float
+    retry_after_s: float
 
 
 class WaitingLine(abc.ABC):
@@ -36,15 +54,37 @@
 
     @abc.abstractmethod
     def remove(self, statement: WaitingStatement) -> None:
-        """Remove a statement that got a connection or no longer waits; unknown ones are ignored."""
+        """Remove a statement that no longer waits; unknown ones are ignored."""
+
+    def take(self, statement: WaitingStatement, now: Instant) -> None:
+        """Remove a statement whose turn has come.
+
+        :param statement: The statement.
+        :param now: Present time.
+        """
+        self.remove(statement)
+
+    def pass_by(self, statement: WaitingStatement, now: Instant) -> None:
+        """Record a statement that got a connection without waiting.
+
+        :param statement: The statement.
+        :param now: Present time.
+        """
+
+    def record_run(self, priority: int, took_s: float) -> None:
+        """Record how long a statement occupied the target.
+
+        :param priority: Its priority.
+        :param took_s: The time, in seconds.
+        """
 
     @abc.abstractmethod
     def in_order(self, now: Instant) -> Iterator[WaitingStatement]:
         """:returns: The waiting statements, the next one to get a connection first."""
 
     @abc.abstractmethod
-    def hopeless(self, now: Instant, expected_s: float, concurrency: int) -> Iterator[WaitingStatement]:
-        """Find the statements that can't be answered in time any more.
+    def dismiss(self, now: Instant, expected_s: float, concurrency: float) -> Iterator[Dismissal]:
+        """Remove the statements that can't be answered within their time limit any more.
 
         :param now: Present time.
         :param expected_s: Expected time of one statement at the target, in seconds.
@@ -77,7 +117,7 @@
         """:returns: The waiting statements by priority and arrival."""
         yield from tuple(self._statements)
 
-    def hopeless(self, now: Instant, expected_s: float, concurrency: int) -> Iterator[WaitingStatement]:
+    def dismiss(self, now: Instant, expected_s: float, concurrency: float) -> Iterator[Dismissal]:
         """:returns: None."""
         yield from ()
 
