--- a/features/line_load.py
+++ b/features/line_load.py
@@ -77,7 +77,9 @@
 class ControlledLine(ArrivalLine):
     """Latest first under overload, and refused after a quarter of the aim once the queue has stood for 0.1 s."""
 
-    _emptied_at: Instant = 0.0
+    def __init__(self) -> None:
+        super().__init__()
+        self._emptied_at: Instant = 0.0
 
     def in_order(self, now: Instant) -> Iterator[WaitingStatement]:
         """:returns: The waiting statements, the latest first if the queue stands."""
--- a/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
@@ -33,7 +33,11 @@
 _PLAN_INTERVAL_S: Final = 0.004
 
 #: Part of the target that organisations within their share may claim before higher priorities.
-_ENTITLED_SHARE: Final = 0.8
+_ENTITLED_SHARE: Final = 1.0
+
+
+#: Tag of a statement that no longer yields to others of its priority, in seconds.
+_NO_TAG: Final = -1.0
 
 
 class _Standing(enum.IntEnum):
@@ -75,8 +79,12 @@
 
     def is_pressed(self, now: Instant) -> bool:
         """:returns: Whether it has waited for so long that it no longer yields to higher priorities."""
+        return now > self.pressed_at()
+
+    def pressed_at(self) -> Instant:
+        """:returns: When it stops yielding."""
         statement = self.statement
-        return now > statement.arrived_at + (statement.aim_at - statement.arrived_at) * _PRESSED_SHARE
+        return statement.arrived_at + (statement.aim_at - statement.arrived_at) * _PRESSED_SHARE
 
 
 class FairLine(WaitingLine):
@@ -100,6 +108,7 @@
         self._queued_s = 0.0
         self._planned_at: Instant = float('-inf')
         self._may_press = True
+        self._entitled_s = 0.0
 
     def add(self, statement: WaitingStatement, now: Instant) -> None:
         """Add a statement, with its place among those of its organisation."""
@@ -163,7 +172,8 @@
         self._planned_at = now
         self._may_press = self._demand.rate_within_share(now) < _ENTITLED_SHARE * self._concurrency
         waiting = len(self)
-        for entry, wait_s in tuple(self._hopeless(now)):
+        hopeless = tuple(self._hopeless(now))
+        for entry, wait_s in hopeless:
             self.remove(entry.statement)
             retry_after_s = self._retry_after_s(entry, wait_s, now)
             yield Dismissal(entry.statement, waiting, wait_s, retry_after_s)
@@ -207,12 +217,14 @@
         statement = entry.statement
         if statement.is_continued:
             return _Standing.CONTINUED, 0, 0, 0.0, statement.arrived_at
-        own = (statement.priority, int(not entry.is_within_share), entry.tag, statement.aim_at)
+        # One that has waited for a part of its aim keeps its place, so that newer ones are refused early.
+        tag = _NO_TAG if entry.is_pressed(now) else entry.tag
+        own = (statement.priority, int(not entry.is_within_share), tag, statement.aim_at)
         if entry.is_late(now):
             return _Standing.LATE, *own
         if entry.is_within_share and (statement.priority == 0 or (self._may_press and entry.is_pressed(now))):
             return _Standing.ENTITLED, 0, 0, 0.0, statement.aim_at
-        return _Standing.ORDINARY, statement.priority, int(not entry.is_within_share), -1.0 if entry.is_pressed(now) else entry.tag, statement.aim_at
+        return _Standing.ORDINARY, *own
 
     def _hopeless(self, now: Instant) -> Iterator[tuple[_Entry, float]]:
         """Plan the turns of the waiting statements.
@@ -223,6 +235,7 @@
         self._owners_by_priority = collections.Counter(priority for priority, _ in owners)
         planned_s = 0.0
         planned_by_priority: dict[int, float] = {}
+        self._entitled_s = sum(entry.work_s for entry in self._entries_by_statement.values() if entry.is_within_share)
         late: list[_Entry] = []
         for entry in self._ranked(now):
             priority = entry.statement.priority
@@ -238,7 +251,7 @@
     def _hopeless_late(self, late: list[_Entry], planned_s: float, now: Instant) -> Iterator[tuple[_Entry, float]]:
         free = self._concurrency - self._demand.rate(now)
         for entry in late:
-            wait_s = planned_s / free if free > 0 else math.inf
+            wait_s = _quotient(planned_s, free)
             if now + wait_s > entry.statement.until:
                 yield entry, wait_s
             else:
@@ -258,16 +271,23 @@
         priority = entry.statement.priority
         before = self._demand.rate_before(priority, now, is_within_share=entry.is_within_share)
         free = self._concurrency - before
-        shared_s = ahead_s / free if free > 0 else math.inf
+        shared_s = _quotient(ahead_s, free)
         guaranteed_s = own_s / (self._concurrency * _GUARANTEED_SHARE) if priority > 0 else math.inf
         wait_s = min(shared_s, guaranteed_s)
-        if entry.is_within_share or math.isinf(wait_s):
+        if entry.is_within_share:
+            return min(wait_s, self._pressed_wait_s(entry, now)) if self._may_press else wait_s
+        if math.isinf(wait_s):
             return wait_s
-        # Later statements of other organisations overtake one whose organisation is ahead of the others.
+        # Others overtake one whose organisation has had more than they.
         lead_s = entry.tag - self._progress_by_priority.get(priority, 0.0)
-        share = max(free, self._concurrency * _GUARANTEED_SHARE) / max(self._owners_by_priority.get(priority, 1), 1)
+        share = max(free, self._concurrency * _GUARANTEED_SHARE) / max(self._owners_by_priority[priority], 1)
         return max(wait_s, lead_s / share)
 
+    def _pressed_wait_s(self, entry: _Entry, now: Instant) -> float:
+        """:returns: Expected wait of a statement that stops yielding to higher priorities after a part of its aim."""
+        free = self._concurrency - self._demand.rate_within_share(now)
+        return max(entry.pressed_at() - now, 0) + self._entitled_s / max(free, self._concurrency * _GUARANTEED_SHARE)
+
     def _retry_after_s(self, entry: _Entry, wait_s: float, now: Instant) -> float:
         statement = entry.statement
         drain_s = self._queued_s / self._concurrency if math.isinf(wait_s) else wait_s
@@ -280,3 +300,8 @@
         self._progress_by_priority.clear()
         self._owed_by_priority.clear()
         self._returns.forget_past(now)
+
+
+def _quotient(work_s: float, rate: float) -> float:
+    """:returns: Time in which work is done; infinite if nothing of it is."""
+    return work_s / rate if rate > 0 else math.inf
--- a/packages/fescuequay-core/fescuequay_core/relay/refusals.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/refusals.py
@@ -68,6 +68,7 @@
 NOT_LEADING: Final = _not_run('not_leading', RefusalKind.NOT_LEADING, 'the target no longer leads; nothing was kept')
 BEHIND: Final = _not_run('behind', RefusalKind.BEHIND, 'no replica has the data that the read requires')
 TARGET_BUSY: Final = _not_run('target_busy', RefusalKind.OVERLOADED, 'the targets are full')
+NO_ROOM: Final = _not_run('no_room', RefusalKind.OVERLOADED, 'others go first, and no time would be left')
 WRONG_TARGET: Final = _not_run('wrong_target', RefusalKind.WRONG_TARGET, 'another target listens at the address')
 TOO_MANY: Final = _not_run(
     'too_many_connections', RefusalKind.TOO_MANY_CONNECTIONS, 'the target has all its connections'
--- a/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
@@ -7,7 +7,7 @@
 from fescuequay_core.relay.model import LeaderRecord, LogPosition, Route, TargetDescription
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.relay.waiting import WaitingStatement
-from fescuequay_core.types import Instant, OrganisationId, Verdict
+from fescuequay_core.types import Instant, OrganisationId, TargetId, Verdict
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.pool import PooledConnection
 from fescuequay_entry.relay.ports import NotSent, TargetLost
@@ -26,6 +26,8 @@
     :param values: Session values that must be set on the connection.
     :param position: Log position of the latest commit of the session.
     :param is_sent: Whether a statement was sent to a target, which may have run it.
+    :param opens_transaction: Whether it is a transaction.
+    :param sent_to: Target whose connection it got last.
     """
 
     route: Route
@@ -34,6 +36,8 @@
     values: dict[str, str]
     position: LogPosition | None
     is_sent: bool = False
+    opens_transaction: bool = False
+    sent_to: TargetId | None = None
 
     @property
     def until(self) -> Instant:
@@ -47,7 +51,12 @@
         :returns: The statement.
         """
         return WaitingStatement(
-            self.organisation, self.route.priority, self.began_at, self.began_at + self.route.aim_s, until
+            self.organisation,
+            self.route.priority,
+            self.began_at,
+            self.began_at + self.route.aim_s,
+            until,
+            opens_transaction=self.opens_transaction,
         )
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,18 +6,23 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from fescuequay_core.relay import resting
 from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.relay.pace import Pace, Unpaced
-from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
+from fescuequay_core.relay.refusals import TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+from fescuequay_entry.relay.waiting_room import Holders, WaitingRoom
 
 #: Connections of each target that are left free for status requests, promotions and newly started instances.
 _RESERVED_CONNECTIONS: Final = 3
 
+#: Connections for each instance below which a target's connections are scarce.
+_PLENTY_FOR_EACH: Final = 2
+
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
 
@@ -185,9 +190,10 @@
         self._share_of = share_of
         self._idle: list[PooledConnection] = []
         self._held = 0
-        self._line = ArrivalLine() if line is None else line
+        self._is_fair = line is not None
+        self._room = WaitingRoom(target.target, line or ArrivalLine(), board.clock, self._expected_s, self._concurrency)
+        self._holders = Holders(self._room.line, board.clock)
         self.pace = Unpaced() if pace is None else pace
-        self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         self.is_closed = False
         self._full_until = float('-inf')
         self._openings: set[asyncio.Task[PooledConnection]] = set()
@@ -203,7 +209,7 @@
 
     def waiting(self) -> int:
         """:returns: Number of statements that wait for a connection."""
-        return len(self._line)
+        return len(self._room)
 
     def open_count(self) -> int:
         """:returns: Number of open connections."""
@@ -211,19 +217,22 @@
 
     async def acquire(self, statement: WaitingStatement) -> PooledConnection:
         """Acquire a connection, in the order of the waiting line."""
-        if self.available() == 0 or len(self._line):
-            await self._wait(statement)
+        await self._wait_for_turn(statement)
         self._held += 1
         try:
-            return self._take_idle(statement.organisation) or await self._open(statement.organisation, statement.until)
+            idle = self._take_idle(statement.organisation)
+            pooled = idle or await self._open(statement.organisation, statement.until)
         except BaseException:
             self._held -= 1
             self._wake_waiters()
             raise
+        self._holders.add(pooled.connection, statement)
+        return pooled
 
     def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
         """Release a connection; one that is not clean is closed."""
         self._held -= 1
+        self._holders.remove(pooled.connection)
         if is_clean and pooled.connection.is_open and not self.is_closed and self._may_keep():
             pooled.used_at = self._board.clock()
             self._idle.append(pooled)
@@ -264,32 +273,32 @@
         while self._idle and self.open_count() > self._share.max_kept:
             self._idle.pop(0).connection.close()
 
-    async def _wait(self, statement: WaitingStatement) -> None:
-        now = self._board.clock()
-        waker = asyncio.get_running_loop().create_future()
-        self._line.add(statement, now)
-        self._wakers_by_statement[statement] = waker
+    async def _wait_for_turn(self, statement: WaitingStatement) -> None:
+        if self.available() > self._room.woken and not len(self._room) and self._may_hold(statement):
+            self._room.pass_by(statement)
+            return
         try:
-            await asyncio.wait_for(waker, max(statement.until - now, 0))
-        except TimeoutError:
-            raise Refused(
-                QUEUE_FULL,
-                f'no connection to {self.target.target} became free in {statement.until - now:.2f} s',
-                _RETRY_AFTER_S,
-            ) from None
-        finally:
-            self._line.remove(statement)
-            self._wakers_by_statement.pop(statement)
+            await self._room.wait(statement)
+        except BaseException:
+            self._wake_waiters()
+            raise
 
     def _wake_waiters(self) -> None:
-        free = self.available()
-        for statement in self._line.in_order(self._board.clock()):
-            if free <= 0:
-                return
-            waker = self._wakers_by_statement[statement]
-            if not waker.done():
-                waker.set_result(None)
-                free -= 1
+        free = self.available() - self._room.woken
+        self._room.wake(free, (pooled.organisation for pooled in self._idle), self._may_hold)
+
+    def _may_hold(self, statement: WaitingStatement) -> bool:
+        """:returns: Whether a statement may take a connection, though it will keep it for a transaction."""
+        if not self._is_fair or not statement.opens_transaction:
+            return True
+        return resting.may_open(self._holders.transactions, self._share.max_open, len(self._room))
+
+    def _concurrency(self) -> float:
+        """:returns: Number of statements that run at the target at a time."""
+        return min(self.pace.limit(self._board.clock()), self._share.max_open)
+
+    def _expected_s(self) -> float:
+        return self._board.health_of(self.target).statement_s
 
     def _take_idle(self, organisation: OrganisationId) -> PooledConnection | None:
         for index in range(len(self._idle) - 1, -1, -1):
@@ -377,6 +386,10 @@
         equal_share = (policy.max_connections - reserved) // self._board.member_count()
         return ConnectionShare(max(equal_share, 1), equal_share)
 
+    def is_scarce(self, target: TargetDescription) -> bool:
+        """:returns: Whether a target has fewer than two connections for each instance."""
+        return self.share_of(target).max_kept < _PLENTY_FOR_EACH
+
     def sweep(self) -> None:
         """Close connections that are no longer needed."""
         for pool in self.pools_by_target.values():
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -213,6 +213,7 @@
             raise Refused(refusals.MISPLACED, 'no transaction is open')
         operation = await self._start_operation(began_at)
         if statement.kind is StatementKind.BEGIN:
+            operation.opens_transaction = True
             self._transaction = OpenTransaction(operation, statement.is_write)
             self._answer_locally()
             return '-'
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -6,12 +6,13 @@
 
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.freshness import Sample
-from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind
+from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind, TargetDescription
+from fescuequay_core.relay.repeats import RepeatBudgets
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.types import Instant, RequestId, TargetId, Verdict
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.operation import Choice, FailedAttempts, InFlightWrite, Operation, Placement
-from fescuequay_entry.relay.pool import Pools
+from fescuequay_entry.relay.pool import PooledConnection, Pools
 from fescuequay_entry.relay.ports import NotSent, Outcome, TargetLost
 from fescuequay_entry.relay.target_selector import (
     BUSY_TARGET_PAUSE_S,
@@ -44,6 +45,7 @@
         self._board = board
         self._pools = pools
         self._selector = TargetSelector(board, pools)
+        self._budgets = RepeatBudgets()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run_single(
@@ -72,11 +74,12 @@
         :raises Refused: No connection was available in time; nothing has run.
         """
         while True:
-            if needs_primary or operation.route.consistency is Consistency.PRIMARY:
+            is_only = needs_primary or operation.route.consistency is Consistency.PRIMARY
+            if is_only:
                 choice = Choice(*await self._selector.await_leader(operation, tried))
             else:
                 choice = await self._selector.choose_reader(operation, tried)
-            placement = await self._try_place(operation, choice, tried)
+            placement = await self._try_place(operation, choice, tried, is_only=is_only)
             if placement is not None:
                 return placement
 
@@ -154,6 +157,8 @@
         if kind is RefusalKind.NO_SUCH_STATEMENT:
             placement.pooled.names_by_shape.clear()
             return
+        if not self._may_repeat(target):
+            raise fault
         tried.add(target.target)
         if kind is RefusalKind.BEHIND:
             self._board.health_of(target).record_behind(now)
@@ -234,7 +239,8 @@
         pending: set[asyncio.Task[tuple[Outcome, Placement]]] = set()
         failures: list[Refused] = []
         for limit_s in (self._hedge_delay_s(operation), operation.route.timeout_s):
-            pending.add(self._spawn(self._read_with_retries(operation, request, statement, shape, tried)))
+            if not pending or self._may_hedge(operation):
+                pending.add(self._spawn(self._read_with_retries(operation, request, statement, shape, tried)))
             outcome, pending = await self._first_success(
                 pending, min(self._board.clock() + limit_s, operation.until), failures
             )
@@ -343,6 +349,17 @@
         ]
         return max(_MIN_HEDGE_DELAY_S, _HEDGE_FACTOR * min(times, default=_MIN_HEDGE_DELAY_S))
 
+    def _may_hedge(self, operation: Operation) -> bool:
+        """:returns: Whether a read may be sent to a second target; it may cost too much where connections are few."""
+        target = self._board.targets_by_id.get(operation.sent_to) if operation.sent_to is not None else None
+        if target is None:
+            return not any(self._pools.is_scarce(one) for one in self._board.targets_of(operation.route.service))
+        return self._may_repeat(target)
+
+    def _may_repeat(self, target: TargetDescription) -> bool:
+        """:returns: Whether a statement of a target may be repeated; where connections are scarce, it is charged."""
+        return not self._pools.is_scarce(target) or self._budgets.of(target.target).spend()
+
     def _spawn(self, step: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
         task = asyncio.ensure_future(step)
         self._tasks.add(task)
@@ -355,25 +372,15 @@
         if not task.cancelled():
             task.exception()
 
-    async def _try_place(self, operation: Operation, choice: Choice, tried: set[TargetId]) -> Placement | None:
+    async def _try_place(
+        self, operation: Operation, choice: Choice, tried: set[TargetId], *, is_only: bool
+    ) -> Placement | None:
         target = choice.target
-        pool = self._pools.pool_of(target)
-        acquire_until = max(operation.began_at + operation.route.aim_s, self._board.clock() + operation.route.aim_s / 2)
-        until = self._board.may_wait_until(min(operation.until, acquire_until))
-        try:
-            pooled = await pool.acquire(operation.waiting_statement(until))
-        except TargetLost as error:
-            tried.add(target.target)
-            if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
-                raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
-            return None
-        except Refused as refusal:
-            tried.add(target.target)
-            if self._board.clock() >= operation.began_at + operation.route.aim_s:
-                raise
-            log_event('target_full', target=target.target, detail=refusal.detail)
-            await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+        pooled = await self._acquire(operation, target, tried, is_only=is_only)
+        if pooled is None:
             return None
+        operation.sent_to = target.target
+        self._budgets.of(target.target).record_statement()
         placement = Placement(pooled, choice.record, choice.after)
         try:
             await asyncio.wait_for(pooled.apply_session_values(operation.values), _SILENCE_TIMEOUT_S)
@@ -387,6 +394,41 @@
             return None
         return placement
 
+    async def _acquire(
+        self, operation: Operation, target: TargetDescription, tried: set[TargetId], *, is_only: bool
+    ) -> PooledConnection | None:
+        """:returns: A connection to a target; nothing if another attempt may be made."""
+        pool = self._pools.pool_of(target)
+        until = self._board.may_wait_until(self._acquire_until(operation, target))
+        try:
+            return await pool.acquire(operation.waiting_statement(until))
+        except TargetLost as error:
+            tried.add(target.target)
+            if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
+                raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
+            return None
+        except Refused as refusal:
+            tried.add(target.target)
+            if refusal.reason is refusals.NO_ROOM and (is_only or self._are_all_tried(operation, tried)):
+                raise
+            if self._board.clock() >= operation.began_at + operation.route.aim_s:
+                raise
+            log_event('target_full', target=target.target, detail=refusal.detail)
+            if refusal.reason is not refusals.NO_ROOM:
+                await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+            return None
+
+    def _acquire_until(self, operation: Operation, target: TargetDescription) -> Instant:
+        """:returns: When an operation must have got a connection; one that gets it later is refused."""
+        aim_at = operation.began_at + operation.route.aim_s
+        if self._pools.is_scarce(target):
+            # Late work is done while there is room; the line refuses it as soon as there is none.
+            return max(aim_at, operation.until - self._board.health_of(target).statement_s)
+        return min(operation.until, max(aim_at, self._board.clock() + operation.route.aim_s / 2))
+
+    def _are_all_tried(self, operation: Operation, tried: set[TargetId]) -> bool:
+        return all(target.target in tried for target, _ in self._board.read_targets_of(operation.route.service))
+
     def _record_outcome(self, placement: Placement, sent_at: Instant, outcome: Outcome) -> None:
         now = self._board.clock()
         health = self._board.health_of(placement.pooled.target)
