--- a/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
@@ -25,6 +25,9 @@
 #: Part of its aim within which a statement is planned to be answered; the rest is for the error of the plan.
 _PLANNED_SHARE: Final = 0.8
 
+#: Factor of the expected wait of a late statement that must fit into its time limit: nobody should wait in vain.
+_LATE_MARGIN: Final = 1.5
+
 #: Work that waits for each slot below which nothing can be hopeless, in seconds.
 _SHORT_QUEUE_S: Final = 0.01
 
@@ -172,11 +175,13 @@
         self._planned_at = now
         self._may_press = self._demand.rate_within_share(now) < _ENTITLED_SHARE * self._concurrency
         waiting = len(self)
-        hopeless = tuple(self._hopeless(now))
-        for entry, wait_s in hopeless:
-            self.remove(entry.statement)
-            retry_after_s = self._retry_after_s(entry, wait_s, now)
-            yield Dismissal(entry.statement, waiting, wait_s, retry_after_s)
+        dismissals = tuple(
+            Dismissal(entry.statement, waiting, wait_s, self._retry_after_s(entry, wait_s, now))
+            for entry, wait_s in self._hopeless(now)
+        )
+        for dismissal in dismissals:
+            self.remove(dismissal.statement)
+        yield from dismissals
 
     def __len__(self) -> int:
         """:returns: Number of waiting statements."""
@@ -193,7 +198,8 @@
 
     def _record_owed(self, served: int, work_s: float) -> None:
         """Let the lower priorities that wait earn their part of the work that another one got."""
-        for priority in {statement.priority for statement in self._entries_by_statement}:
+        waiting = frozenset(statement.priority for statement in self._entries_by_statement)
+        for priority in waiting:
             if priority > 0 and priority != served:
                 owed_s = self._owed_by_priority.get(priority, 0.0) + work_s * _GUARANTEED_SHARE
                 self._owed_by_priority[priority] = min(owed_s, 2 * self._work_of(priority))
@@ -233,7 +239,8 @@
         """
         owners = {(statement.priority, statement.organisation) for statement in self._entries_by_statement}
         self._owners_by_priority = collections.Counter(priority for priority, _ in owners)
-        planned_s = 0.0
+        # Since statements wait, every slot is taken, on average by one that is half done.
+        planned_s = self._expected_s / 2 * self._concurrency
         planned_by_priority: dict[int, float] = {}
         self._entitled_s = sum(entry.work_s for entry in self._entries_by_statement.values() if entry.is_within_share)
         late: list[_Entry] = []
@@ -252,7 +259,7 @@
         free = self._concurrency - self._demand.rate(now)
         for entry in late:
             wait_s = _quotient(planned_s, free)
-            if now + wait_s > entry.statement.until:
+            if now + wait_s * _LATE_MARGIN + entry.work_s > entry.statement.until:
                 yield entry, wait_s
             else:
                 planned_s += entry.work_s
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -214,6 +214,7 @@
             self._target_follower.remove_expired()
             self.configurations.remove_expired()
             self.metrics.record_age.set(self.board.permits.oldest_age_s(self.board.clock()))
+            self.metrics.set_queue(self._pools.queues)
             if self.board.configuration is not None:
                 self.metrics.configuration.set(self.board.configuration.version)
             if _suspended_s() - gap_s > _SUSPENSION_THRESHOLD_S:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of an instance; the configuration bounds the number of label values."""
 
+import dataclasses
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -9,6 +10,41 @@
 _BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
+@dataclasses.dataclass(slots=True)
+class QueueTotals:
+    """What statements of one priority met when they waited for targets.
+
+    :param waiting: Statements that wait now.
+    :param served: Statements whose turn came.
+    :param displaced: Statements that were refused because others went first.
+    :param waited_s: Total wait of those whose turn came, in seconds.
+    """
+
+    waiting: int = 0
+    served: int = 0
+    displaced: int = 0
+    waited_s: float = 0.0
+
+
+class QueueStatistics:
+    """Totals of the statements that wait for targets, by priority."""
+
+    def __init__(self) -> None:
+        self.totals_by_priority: dict[int, QueueTotals] = {}
+
+    def enter(self, priority: int) -> None:
+        """Record that a statement waits."""
+        self.totals_by_priority.setdefault(priority, QueueTotals()).waiting += 1
+
+    def leave(self, priority: int, waited_s: float, *, has_turn: bool) -> None:
+        """Record that a statement no longer waits, since its turn has come or it was refused."""
+        totals = self.totals_by_priority[priority]
+        totals.waiting -= 1
+        totals.served += int(has_turn)
+        totals.displaced += int(not has_turn)
+        totals.waited_s += waited_s if has_turn else 0.0
+
+
 class RelayMetrics:
     """Counters, gauges and histograms of an instance, in a registry of its own."""
 
@@ -35,6 +71,12 @@
         self.record_age = Gauge(
             'fescuequay_record_age_seconds', 'Age of the oldest leader confirmation.', registry=self.registry
         )
+        self.queue = Gauge(
+            'fescuequay_queue',
+            'Statements that waited for targets, by priority: waiting now; served, displaced and waited_s in all.',
+            ('priority', 'what'),
+            registry=self.registry,
+        )
         self.configuration = Gauge(
             'fescuequay_configuration_version', 'Configuration in force.', registry=self.registry
         )
@@ -44,6 +86,12 @@
         self.latency.labels(organisation).observe(took_s)
         self.statements.labels(kind.value, outcome).inc()
 
+    def set_queue(self, statistics: QueueStatistics) -> None:
+        """Show the totals of the waiting statements."""
+        for priority, totals in statistics.totals_by_priority.items():
+            for what, count in dataclasses.asdict(totals).items():
+                self.queue.labels(str(priority), what).set(count)
+
     def text(self) -> bytes:
         """:returns: All metrics in the text exposition format."""
         return generate_latest(self.registry)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -13,6 +13,7 @@
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import OrganisationId, TargetId
 from fescuequay_entry.relay.board import Board
+from fescuequay_entry.relay.metrics import QueueStatistics
 from fescuequay_entry.relay.opening import Opening
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
 from fescuequay_entry.relay.waiting_room import Holders, WaitingRoom
@@ -173,6 +174,7 @@
     :param share_of: Returns this instance's share of the target's connections.
     :param line: Order of the waiting statements; by priority and arrival by default.
     :param pace: Limit of the statements at the target; none by default.
+    :param queues: Counts the waiting statements; nobody reads them by default.
     """
 
     def __init__(
@@ -183,6 +185,7 @@
         share_of: Callable[[], ConnectionShare],
         line: WaitingLine | None = None,
         pace: Pace | None = None,
+        queues: QueueStatistics | None = None,
     ) -> None:
         super().__init__(target)
         self._board = board
@@ -191,7 +194,14 @@
         self._idle: list[PooledConnection] = []
         self._held = 0
         self._is_fair = line is not None
-        self._room = WaitingRoom(target.target, line or ArrivalLine(), board.clock, self._expected_s, self._concurrency)
+        self._room = WaitingRoom(
+            target.target,
+            ArrivalLine() if line is None else line,
+            board.clock,
+            self._expected_s,
+            self._concurrency,
+            queues or QueueStatistics(),
+        )
         self._holders = Holders(self._room.line, board.clock)
         self.pace = Unpaced() if pace is None else pace
         self.is_closed = False
@@ -291,7 +301,7 @@
         """:returns: Whether a statement may take a connection, though it will keep it for a transaction."""
         if not self._is_fair or not statement.opens_transaction:
             return True
-        return resting.may_open(self._holders.transactions, self._share.max_open, len(self._room))
+        return resting.may_open(self._holders.transactions, self._share.max_open, self._room.singles())
 
     def _concurrency(self) -> float:
         """:returns: Number of statements that run at the target at a time."""
@@ -363,6 +373,7 @@
     def __init__(self, board: Board, driver: TargetDriver) -> None:
         self._board = board
         self._driver = driver
+        self.queues = QueueStatistics()
         self.pools_by_target: dict[TargetId, TargetPool] = {}
         board.changes.subscribe(self._on_change)
 
@@ -372,7 +383,7 @@
         if pool is None or _is_different_incarnation(pool.target, target):
             if pool is not None:
                 pool.close()
-            pool = TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+            pool = TargetPool(self._board, self._driver, target, lambda: self.share_of(target), queues=self.queues)
             self.pools_by_target[target.target] = pool
         return pool
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/waiting_room.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/waiting_room.py
@@ -9,6 +9,7 @@
 from fescuequay_core.relay.refusals import NO_ROOM, QUEUE_FULL, Refused
 from fescuequay_core.relay.waiting import Dismissal, WaitingLine, WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, TargetId
+from fescuequay_entry.relay.metrics import QueueStatistics
 from fescuequay_entry.relay.ports import TargetConnection
 
 #: Retry-after of a statement that got no connection, in seconds: the duration of a few statements.
@@ -57,6 +58,7 @@
     :param clock: Returns the present time.
     :param expected_s: Returns the expected time of one statement at the target, in seconds.
     :param concurrency: Returns the number of statements that run there at a time.
+    :param statistics: Counts the waiting statements of all targets.
     """
 
     def __init__(
@@ -66,12 +68,14 @@
         clock: Callable[[], Instant],
         expected_s: Callable[[], float],
         concurrency: Callable[[], float],
+        statistics: QueueStatistics,
     ) -> None:
         self._target = target
         self.line = line
         self._clock = clock
         self._expected_s = expected_s
         self._concurrency = concurrency
+        self._statistics = statistics
         self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
         #: Statements whose turn has come and that have not gone on yet.
         self.woken = 0
@@ -80,6 +84,10 @@
     def __len__(self) -> int:
         return len(self.line)
 
+    def singles(self) -> int:
+        """:returns: Number of waiting statements outside transactions."""
+        return sum(not statement.opens_transaction for statement in self._wakers_by_statement)
+
     def pass_by(self, statement: WaitingStatement) -> None:
         """Record a statement that needn't wait."""
         self.line.pass_by(statement, self._clock())
@@ -94,6 +102,7 @@
         waker = asyncio.get_running_loop().create_future()
         self._wakers_by_statement[statement] = waker
         self.line.add(statement, now)
+        self._statistics.enter(statement.priority)
         self.dismiss()
         try:
             await asyncio.wait_for(waker, max(statement.until - now, 0))
@@ -106,8 +115,9 @@
         finally:
             self.line.remove(statement)
             self._wakers_by_statement.pop(statement)
-            if waker.done() and not waker.cancelled() and waker.exception() is None:
-                self.woken -= 1
+            has_turn = waker.done() and not waker.cancelled() and waker.exception() is None
+            self.woken -= int(has_turn)
+            self._statistics.leave(statement.priority, self._clock() - now, has_turn=has_turn)
 
     def dismiss(self) -> None:
         """Refuse the statements that can't be answered in time any more."""
