--- a/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
@@ -27,6 +27,7 @@
     :param position: Log position of the latest commit of the session.
     :param is_sent: Whether a statement was sent to a target, which may have run it.
     :param opens_transaction: Whether it is a transaction.
+    :param is_bound: Whether only the primary may run it.
     :param sent_to: Target whose connection it got last.
     """
 
@@ -37,6 +38,7 @@
     position: LogPosition | None
     is_sent: bool = False
     opens_transaction: bool = False
+    is_bound: bool = False
     sent_to: TargetId | None = None
 
     @property
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -12,8 +12,8 @@
 from fescuequay_core.types import Instant, RequestId, TargetId, Verdict
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.operation import Choice, FailedAttempts, InFlightWrite, Operation, Placement
-from fescuequay_entry.relay.pool import PooledConnection, Pools
-from fescuequay_entry.relay.ports import NotSent, Outcome, TargetLost
+from fescuequay_entry.relay.pool import Pools
+from fescuequay_entry.relay.ports import GatewayRefused, NotSent, Outcome, TargetLost
 from fescuequay_entry.relay.target_selector import (
     BUSY_TARGET_PAUSE_S,
     FAILOVER_WAIT_SHARE,
@@ -74,12 +74,12 @@
         :raises Refused: No connection was available in time; nothing has run.
         """
         while True:
-            is_only = needs_primary or operation.route.consistency is Consistency.PRIMARY
-            if is_only:
+            operation.is_bound = needs_primary or operation.route.consistency is Consistency.PRIMARY
+            if operation.is_bound:
                 choice = Choice(*await self._selector.await_leader(operation, tried))
             else:
                 choice = await self._selector.choose_reader(operation, tried)
-            placement = await self._try_place(operation, choice, tried, is_only=is_only)
+            placement = await self._try_place(operation, choice, tried)
             if placement is not None:
                 return placement
 
@@ -115,6 +115,8 @@
         health = self._board.health_of(pooled.target)
         sent_at = self._board.clock()
         limit_s = self._time_limit_s(operation, sent_at)
+        pooled.note_limit(sent_at + limit_s)
+        was_sent = operation.is_sent
         operation.is_sent = True
         health.in_flight += 1
         try:
@@ -123,6 +125,8 @@
                 limit_s,
             )
         except (TimeoutError, TargetLost) as error:
+            if isinstance(error, NotSent):
+                operation.is_sent = was_sent
             self._record_lost(placement, sent_at, error, request)
             raise
         finally:
@@ -169,6 +173,23 @@
         else:
             await asyncio.sleep(BUSY_TARGET_PAUSE_S)
 
+    async def prepare_after_loss(
+        self, operation: Operation, placement: Placement, error: TargetLost, tried: set[TargetId]
+    ) -> None:
+        """Prepare another attempt of a statement whose connection was lost.
+
+        :param operation: The operation.
+        :param placement: Connection that was lost.
+        :param error: What happened.
+        :param tried: Targets to avoid; this one is added, unless only the gateway before it failed.
+        :raises Refused: A gateway refused it, and its aim has passed.
+        """
+        target = placement.pooled.target.target
+        if isinstance(error, GatewayRefused):
+            await self._pause_after_refusal(operation, target, error.refusal, tried)
+        elif error.concerns_target:
+            tried.add(target)
+
     async def _roll_back(self, placement: Placement) -> None:
         is_clean = False
         try:
@@ -197,8 +218,8 @@
             placement = await self.place(operation, needs_primary=True, tried=tried)
             try:
                 outcome = await self._write_once(operation, placement, request, statement, shape)
-            except NotSent:
-                tried.add(placement.pooled.target.target)
+            except NotSent as error:
+                await self.prepare_after_loss(operation, placement, error, tried)
                 continue
             if outcome.fault is None:
                 if not self.has_valid_permit(placement):
@@ -301,8 +322,8 @@
         try:
             outcome = await self._execute_read(operation, placement, request, statement, shape)
         except TargetLost as error:
-            tried.add(placement.pooled.target.target)
             failed_attempts.record_lost(error)
+            await self.prepare_after_loss(operation, placement, error, tried)
             return None
         if outcome.fault is None:
             return outcome
@@ -372,16 +393,24 @@
         if not task.cancelled():
             task.exception()
 
-    async def _try_place(
-        self, operation: Operation, choice: Choice, tried: set[TargetId], *, is_only: bool
-    ) -> Placement | None:
+    async def _try_place(self, operation: Operation, choice: Choice, tried: set[TargetId]) -> Placement | None:
         target = choice.target
-        pooled = await self._acquire(operation, target, tried, is_only=is_only)
-        if pooled is None:
+        source = self._pools.source_of(target)
+        until = self._board.may_wait_until(self._acquire_until(operation, target))
+        try:
+            pooled = await source.acquire(operation.waiting_statement(until))
+        except TargetLost as error:
+            tried.add(target.target)
+            if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
+                raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
+            return None
+        except Refused as refusal:
+            await self._pause_after_refusal(operation, target.target, refusal, tried)
             return None
         operation.sent_to = target.target
         self._budgets.of(target.target).record_statement()
         placement = Placement(pooled, choice.record, choice.after)
+        pooled.note_record(choice.record)
         try:
             await asyncio.wait_for(pooled.apply_session_values(operation.values), _SILENCE_TIMEOUT_S)
         except (TargetLost, TimeoutError) as error:
@@ -394,29 +423,22 @@
             return None
         return placement
 
-    async def _acquire(
-        self, operation: Operation, target: TargetDescription, tried: set[TargetId], *, is_only: bool
-    ) -> PooledConnection | None:
-        """:returns: A connection to a target; nothing if another attempt may be made."""
-        pool = self._pools.pool_of(target)
-        until = self._board.may_wait_until(self._acquire_until(operation, target))
-        try:
-            return await pool.acquire(operation.waiting_statement(until))
-        except TargetLost as error:
-            tried.add(target.target)
-            if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
-                raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
-            return None
-        except Refused as refusal:
-            tried.add(target.target)
-            if refusal.reason is refusals.NO_ROOM and (is_only or self._are_all_tried(operation, tried)):
-                raise
-            if self._board.clock() >= operation.began_at + operation.route.aim_s:
-                raise
-            log_event('target_full', target=target.target, detail=refusal.detail)
-            if refusal.reason is not refusals.NO_ROOM:
-                await asyncio.sleep(BUSY_TARGET_PAUSE_S)
-            return None
+    async def _pause_after_refusal(
+        self, operation: Operation, target: TargetId, refusal: Refused, tried: set[TargetId]
+    ) -> None:
+        """Avoid a target that had no connection, and pause.
+
+        :raises Refused: The aim has passed, or there is no room at any target.
+        """
+        tried.add(target)
+        has_room = refusal.reason is not refusals.NO_ROOM
+        if not has_room and (operation.is_bound or self._are_all_tried(operation, tried)):
+            raise refusal
+        if self._board.clock() >= operation.began_at + operation.route.aim_s:
+            raise refusal
+        log_event('target_full', target=target, detail=refusal.detail)
+        if has_room:
+            await asyncio.sleep(BUSY_TARGET_PAUSE_S)
 
     def _acquire_until(self, operation: Operation, target: TargetDescription) -> Instant:
         """:returns: When an operation must have got a connection; one that gets it later is refused."""
@@ -443,10 +465,12 @@
         now = self._board.clock()
         target = placement.pooled.target
         is_refusal = isinstance(error, TargetLost) and error.is_refusal
-        self._board.health_of(target).record_failure(sent_at, now, is_refusal=is_refusal)
+        concerns_target = placement.pooled.concerns_target(error)
+        if concerns_target:
+            self._board.health_of(target).record_failure(sent_at, now, is_refusal=is_refusal)
         placement.pooled.connection.close()
         log_event(
-            'target_lost',
+            'target_lost' if concerns_target else 'hop_failed',
             request=request,
             target=target.target,
             waited_s=round(now - sent_at, 3),
--- a/packages/fescuequay-entry/fescuequay_entry/relay/waiting_room.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/waiting_room.py
@@ -22,34 +22,6 @@
 _DISMISS_INTERVAL_S: Final = 0.01
 
 
-class Holders:
-    """Statements and transactions that hold a connection to one target.
-
-    :param line: Learns how long single statements take.
-    :param clock: Returns the present time.
-    """
-
-    def __init__(self, line: WaitingLine, clock: Callable[[], Instant]) -> None:
-        self._line = line
-        self._clock = clock
-        self._statements_by_connection: dict[TargetConnection, tuple[WaitingStatement, Instant]] = {}
-
-    @property
-    def transactions(self) -> int:
-        """:returns: Number of connections that open transactions hold."""
-        return sum(statement.opens_transaction for statement, _ in self._statements_by_connection.values())
-
-    def add(self, connection: TargetConnection, statement: WaitingStatement) -> None:
-        """Record that a statement got a connection."""
-        self._statements_by_connection[connection] = (statement, self._clock())
-
-    def remove(self, connection: TargetConnection) -> None:
-        """Record that a connection is no longer held."""
-        statement, since = self._statements_by_connection.pop(connection, (None, 0.0))
-        if statement is not None and not statement.opens_transaction:
-            self._line.record_run(statement.priority, self._clock() - since)
-
-
 class WaitingRoom:
     """Wakes the waiting statements of one target in the order of their line.
 
@@ -72,7 +44,7 @@
     ) -> None:
         self._target = target
         self.line = line
-        self._clock = clock
+        self.clock = clock
         self._expected_s = expected_s
         self._concurrency = concurrency
         self._statistics = statistics
@@ -84,13 +56,21 @@
     def __len__(self) -> int:
         return len(self.line)
 
+    def change_line(self, line: WaitingLine) -> None:
+        """Order the waiting statements by another line from now on."""
+        now = self.clock()
+        for statement in tuple(self.line.in_order(now)):
+            self.line.remove(statement)
+            line.add(statement, now)
+        self.line = line
+
     def singles(self) -> int:
         """:returns: Number of waiting statements outside transactions."""
         return sum(not statement.opens_transaction for statement in self._wakers_by_statement)
 
     def pass_by(self, statement: WaitingStatement) -> None:
         """Record a statement that needn't wait."""
-        self.line.pass_by(statement, self._clock())
+        self.line.pass_by(statement, self.clock())
 
     async def wait(self, statement: WaitingStatement) -> None:
         """Wait for a statement's turn.
@@ -98,7 +78,7 @@
         :param statement: The statement.
         :raises Refused: Its turn didn't come in time, or would not.
         """
-        now = self._clock()
+        now = self.clock()
         waker = asyncio.get_running_loop().create_future()
         self._wakers_by_statement[statement] = waker
         self.line.add(statement, now)
@@ -117,11 +97,11 @@
             self._wakers_by_statement.pop(statement)
             has_turn = waker.done() and not waker.cancelled() and waker.exception() is None
             self.woken -= int(has_turn)
-            self._statistics.leave(statement.priority, self._clock() - now, has_turn=has_turn)
+            self._statistics.leave(statement.priority, self.clock() - now, has_turn=has_turn)
 
     def dismiss(self) -> None:
         """Refuse the statements that can't be answered in time any more."""
-        for dismissal in self.line.dismiss(self._clock(), self._expected_s(), self._concurrency()):
+        for dismissal in self.line.dismiss(self.clock(), self._expected_s(), self._concurrency()):
             waker = self._wakers_by_statement[dismissal.statement]
             if not waker.done():
                 waker.set_exception(_refusal(self._target, dismissal))
@@ -137,7 +117,7 @@
         """
         if free <= 0 or not len(self):
             return
-        now = self._clock()
+        now = self.clock()
         with_connection = frozenset(idle)
         for _ in range(free):
             ready = (statement for statement in self.line.in_order(now) if is_ready(statement))
@@ -164,6 +144,32 @@
         self.dismiss()
 
 
+class Holders:
+    """Statements and transactions that hold a connection to one target.
+
+    :param room: Learns how long single statements take.
+    """
+
+    def __init__(self, room: WaitingRoom) -> None:
+        self._room = room
+        self._statements_by_connection: dict[TargetConnection, tuple[WaitingStatement, Instant]] = {}
+
+    @property
+    def transactions(self) -> int:
+        """:returns: Number of connections that open transactions hold."""
+        return sum(statement.opens_transaction for statement, _ in self._statements_by_connection.values())
+
+    def add(self, connection: TargetConnection, statement: WaitingStatement) -> None:
+        """Record that a statement got a connection."""
+        self._statements_by_connection[connection] = (statement, self._room.clock())
+
+    def remove(self, connection: TargetConnection) -> None:
+        """Record that a connection is no longer held."""
+        statement, since = self._statements_by_connection.pop(connection, (None, 0.0))
+        if statement is not None and not statement.opens_transaction:
+            self._room.line.record_run(statement.priority, self._room.clock() - since)
+
+
 def _refusal(target: TargetId, dismissal: Dismissal) -> Refused:
     wait_s = dismissal.expected_wait_s
     wait = 'none in sight' if math.isinf(wait_s) else f'in {wait_s * 1000:.0f} ms'
