--- a/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/fair_line.py
@@ -1,6 +1,5 @@
 """Waiting line of a target with too little room: orders statements by what their callers can still get."""
 
-import collections
 import dataclasses
 import enum
 import math
@@ -107,7 +106,6 @@
         self._owed_by_priority: dict[int, float] = {}
         self._progress_by_priority: dict[int, float] = {}
         self._finish_by_owner: dict[tuple[int, OrganisationId], float] = {}
-        self._owners_by_priority: collections.Counter[int] = collections.Counter()
         self._queued_s = 0.0
         self._planned_at: Instant = float('-inf')
         self._may_press = True
@@ -237,8 +235,6 @@
 
         :returns: Those whose turn comes too late, and their expected wait in seconds.
         """
-        owners = {(statement.priority, statement.organisation) for statement in self._entries_by_statement}
-        self._owners_by_priority = collections.Counter(priority for priority, _ in owners)
         # Since statements wait, every slot is taken, on average by one that is half done.
         planned_s = self._expected_s / 2 * self._concurrency
         planned_by_priority: dict[int, float] = {}
@@ -281,14 +277,7 @@
         shared_s = _quotient(ahead_s, free)
         guaranteed_s = own_s / (self._concurrency * _GUARANTEED_SHARE) if priority > 0 else math.inf
         wait_s = min(shared_s, guaranteed_s)
-        if entry.is_within_share:
-            return min(wait_s, self._pressed_wait_s(entry, now)) if self._may_press else wait_s
-        if math.isinf(wait_s):
-            return wait_s
-        # Others overtake one whose organisation has had more than they.
-        lead_s = entry.tag - self._progress_by_priority.get(priority, 0.0)
-        share = max(free, self._concurrency * _GUARANTEED_SHARE) / max(self._owners_by_priority[priority], 1)
-        return max(wait_s, lead_s / share)
+        return min(wait_s, self._pressed_wait_s(entry, now)) if entry.is_within_share and self._may_press else wait_s
 
     def _pressed_wait_s(self, entry: _Entry, now: Instant) -> float:
         """:returns: Expected wait of a statement that stops yielding to higher priorities after a part of its aim."""
