--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -291,6 +291,7 @@
             now + ask.aim_s,
             now + ask.wait_s,
             ask.is_continued,
+            opens_transaction=ask.step in _BEGIN_STEPS,
         )
         pooled = await self._gateway.pools.pool_of(target).acquire(statement)
         self._gateway.metrics.wait.observe(self._board.clock() - now)
