--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine, Iterator, Mapping
-from typing import Any, Final
+from collections.abc import Coroutine, Iterable, Iterator, Mapping
+from typing import Any, Final, TypeAlias
 
 from fescuequay_core.relay import formats, settlement
 from fescuequay_core.relay.failure_detector import Observation, PeerReport, PrimaryStatus, evaluate
@@ -17,6 +17,7 @@
 from fescuequay_entry.relay.control_connections import ControlConnections
 from fescuequay_entry.relay.followers import FEED_COUNT, OPERATOR_FEED, RELAYED_FEED_MAX_AGE_S
 from fescuequay_entry.relay.messages import (
+    MANY_RECORDS,
     ExchangeAnswer,
     ExchangeRequest,
     PositionSample,
@@ -30,6 +31,9 @@
 #: Interval between the coordinator's reads of the whole table, in seconds. Instances rarely come and go.
 _TABLE_READ_INTERVAL_S: Final = 3.0
 
+#: Interval between two confirmations of many leader records, in seconds; answers in between are older by that.
+_CONFIRM_INTERVAL_S: Final = 0.02
+
 #: Time without a request after which an instance is marked as leaving, in seconds: it gets no more permits until it
 #: registers again, so no promoter waits for it. Registering again costs three table calls, so short silences are
 #: tolerated.
@@ -69,6 +73,9 @@
 #: Time after a replacement during which roles from the registry may be outdated and are ignored, in seconds.
 _REGISTRY_LAG_S: Final = 1.0
 
+#: When a report about a primary arrived, and what it says, as in ``ExchangeRequest.observations``.
+_Report: TypeAlias = tuple[Instant, tuple[TargetId, float | None, bool, bool, bool]]
+
 
 class Coordinator:
     """Coordinates all instances while this one holds the coordinator lease.
@@ -87,6 +94,7 @@
         self._began_at = board.clock()
         self._token_pool = TokenPool(board.clock(), board.tolerance)
         self._observations: dict[InstanceId, tuple[Instant, ExchangeRequest]] = {}
+        self._reports_by_service: dict[str, list[_Report]] = {}
         self._replacements_by_service: dict[ServiceId, asyncio.Task[None]] = {}
         self._roles_ignored_until: dict[ServiceId, Instant] = {}
         self._cooldown_until: dict[ServiceId, Instant] = {}
@@ -97,6 +105,7 @@
         self._renewed_at: Instant = float('-inf')
         self._table_read_at: Instant = float('-inf')
         self._lease_token = -1
+        self._confirmed_at: Instant = float('-inf')
 
     async def run_round(self) -> None:
         """Renew the lease, read the table and check every service, as each falls due.
@@ -118,6 +127,7 @@
             await self._remove_silent_members()
             await self._records.remove_leftovers()
         if board.lease.holds(board.clock()):
+            self._reports_by_service = self._index_reports()
             for service in self._services():
                 self._check_service(service)
 
@@ -147,16 +157,20 @@
             board.confirmations.record_sent(member.instance, now - record_age_s)
         else:
             self._table_read_at = float('-inf')
-        board.targets_history.record(board.targets_by_id)
+        board.record_targets()
+        records, records_since = self._records_since(request.records)
         return ExchangeAnswer(
             is_coordinator=True,
             duty=board.lease.record,
             is_listed=is_listed,
-            records=board.permits.records(),
+            records=records,
+            records_since=records_since,
             record_age_s=_rounded_up_age_s(record_age_s),
             members=board.members_history.since(request.members),
             supply=self.grant_tokens(request.supply) if request.supply else None,
-            samples=dict(self._position_samples(now)),
+            samples=dict(
+                self._position_samples(now, self._services() if request.positions is None else request.positions)
+            ),
             configuration_version=board.configuration.version if board.configuration else -1,
             targets=board.targets_history.since(request.targets),
             evacuated=self._evacuated(now),
@@ -168,9 +182,14 @@
     def confirm_records(self, now: Instant) -> None:
         """Confirm that the leader records are the newest, as far as the lease guarantees it.
 
+        Many records are confirmed once for all answers within a moment, which give the age of that.
+
         :param now: Present time.
         """
-        self._board.permits.confirm(self._board.permits.records(), self._records.confirmed_at(now))
+        pause_s = _CONFIRM_INTERVAL_S if len(self._board.permits) >= MANY_RECORDS else 0.0
+        if now >= self._confirmed_at + pause_s:
+            self._confirmed_at = now
+            self._board.permits.confirm(self._board.permits.records(), self._records.confirmed_at(now))
 
     def grant_tokens(self, request: SupplyRequest) -> SupplyAnswer:
         """Grant tokens to an instance that delegates its equal share to this one, coordinator or fallback supplier.
@@ -212,6 +231,7 @@
         # Taking the lease over required an unchanged row, so the previous holder had not renewed it since.
         self._board.confirmations.begin(min(now, self._records.previous_lease_until))
         self._observations.clear()
+        self._confirmed_at = float('-inf')
         self._table_read_at = float('-inf')
         self._renewed_at = float('-inf')
         self.stop()
@@ -236,8 +256,14 @@
             return None
         return _rounded_age_s(age_s), self._board.evacuations.ages_s(now)
 
-    def _position_samples(self, now: Instant) -> Iterator[tuple[str, PositionSample]]:
-        for service in self._services():
+    def _records_since(self, digest: str | None) -> tuple[tuple[LeaderRecord, ...], str | None]:
+        """:returns: The records that an instance does not know, and the digest of its own; or all, and nothing."""
+        permits = self._board.permits
+        changed = None if digest is None else permits.since(digest)
+        return (permits.records(), None) if changed is None else (changed, digest)
+
+    def _position_samples(self, now: Instant, services: Iterable[ServiceId]) -> Iterator[tuple[str, PositionSample]]:
+        for service in services:
             newest = self._board.samples.newest(service)
             if newest is not None:
                 term, sample = newest
@@ -348,12 +374,20 @@
     def _own_observation(self, target: TargetDescription) -> Observation:
         return observe(self._board, target)
 
+    def _index_reports(self) -> dict[str, list[_Report]]:
+        """:returns: The recent reports of the other instances, by service."""
+        oldest = self._board.clock() - _OBSERVATION_MAX_AGE_ROUNDS * exchange_interval_s(self._board.member_count())
+        reports_by_service: dict[str, list[_Report]] = {}
+        for received_at, request in self._observations.values():
+            if received_at > oldest:
+                for service, observation in request.observations.items():
+                    reports_by_service.setdefault(service, []).append((received_at, observation))
+        return reports_by_service
+
     def _recent_reports(self, record: LeaderRecord) -> Iterator[PeerReport]:
         now = self._board.clock()
-        oldest = now - _OBSERVATION_MAX_AGE_ROUNDS * exchange_interval_s(self._board.member_count())
-        for received_at, request in self._observations.values():
-            observation = request.observations.get(record.service)
-            if observation is not None and observation[0] == record.target and received_at > oldest:
+        for received_at, observation in self._reports_by_service.get(record.service, ()):
+            if observation[0] == record.target:
                 yield PeerReport(Observation(*observation[1:]), now - received_at)
 
     def _needs_probe(self, record: LeaderRecord, target: TargetDescription) -> bool:
@@ -463,3 +497,9 @@
     others = (board.health_of(other) for other in board.targets_of(target.service) if other != target)
     reaches_others = any(now - other.answered_at < RECENT_ANSWER_S for other in others)
     return Observation(failing_s, health.is_refusing, now - health.answered_at < RECENT_ANSWER_S, reaches_others)
+
+
+def has_observed(board: Board, target: TargetDescription) -> bool:
+    """:returns: Whether this instance has anything to report of a primary."""
+    health = board.health_of(target)
+    return health.failing_since is not None or board.clock() - health.answered_at < RECENT_ANSWER_S
--- a/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/pool.py
@@ -6,15 +6,23 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from fescuequay_core.relay import resting
+from fescuequay_core.relay.fair_line import FairLine
+from fescuequay_core.relay.gateways import GATEWAYS_OF_TARGET
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription
-from fescuequay_core.relay.pace import Pace, Unpaced
-from fescuequay_core.relay.refusals import QUEUE_FULL, TARGET_BUSY, RefusalKind, Refused
+from fescuequay_core.relay.pace import Pace, PaceWhileHolding, Unpaced
+from fescuequay_core.relay.refusals import TARGET_BUSY, RefusalKind, Refused
 from fescuequay_core.relay.waiting import ArrivalLine, WaitingLine, WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, TargetId
+
 from fescuequay_entry.relay.board import Board
 from fescuequay_entry.relay.gateway_directory import ConnectionShare, GatewayDirectory
+from fescuequay_entry.relay.metrics import QueueStatistics
 from fescuequay_entry.relay.opening import Opening
-from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost
+from fescuequay_entry.relay.paced import PacedDriver
+from fescuequay_entry.relay.pacing import Pacing
+from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost, TargetSilent
+from fescuequay_entry.relay.waiting_room import Holders, WaitingRoom
 
 #: Time after which an unused connection is closed, in seconds; below the targets' own limit of 60 s.
 _IDLE_TIMEOUT_S: Final = 40.0
@@ -110,8 +118,11 @@
     """Where statements get connections to one incarnation of a target.
 
     :param target: The target.
+    :cvar is_shared: Whether other instances use the same connections.
     """
 
+    is_shared = False
+
     def __init__(self, target: TargetDescription) -> None:
         self.target = target
 
@@ -163,6 +174,7 @@
     :param share_of: Returns this instance's share of the target's connections.
     :param line: Order of the waiting statements; by priority and arrival by default.
     :param pace: Limit of the statements at the target; none by default.
+    :param queues: Counts the waiting statements; nobody reads them by default.
     """
 
     def __init__(
@@ -173,24 +185,32 @@
         share_of: Callable[[], ConnectionShare],
         line: WaitingLine | None = None,
         pace: Pace | None = None,
+        queues: QueueStatistics | None = None,
     ) -> None:
         super().__init__(target)
         self._board = board
-        self._driver = driver
         self._share_of = share_of
         self._idle: list[PooledConnection] = []
         self._held = 0
-        self._line = ArrivalLine() if line is None else line
-        self.pace = Unpaced() if pace is None else pace
-        self._wakers_by_statement: dict[WaitingStatement, asyncio.Future[None]] = {}
+        self._pacing = Pacing(board, target, pace or Unpaced(), self._active, self._wake_waiters)
+        self._driver = driver if pace is None else PacedDriver(driver, self._pacing)
+        self._room = WaitingRoom(
+            target.target,
+            ArrivalLine() if line is None else line,
+            board.clock,
+            self._expected_s,
+            self._concurrency,
+            queues or QueueStatistics(),
+        )
+        self._holders = Holders(self._room)
         self.is_closed = False
         self._full_until = float('-inf')
         self._openings: set[asyncio.Task[PooledConnection]] = set()
 
     def available(self) -> int:
         """:returns: Number of connections that are idle or may be opened."""
-        limit = min(self._share.max_open, self.pace.limit(self._board.clock()))
-        return max(int(limit) - self._held, 0)
+        free = min(self._share.max_open - self._held, self._pacing.limit() - self._active())
+        return max(int(free), 0)
 
     def has_idle(self, organisation: OrganisationId) -> bool:
         """:returns: Whether there is an idle connection of an organisation."""
@@ -198,7 +218,7 @@
 
     def waiting(self) -> int:
         """:returns: Number of statements that wait for a connection."""
-        return len(self._line)
+        return len(self._room)
 
     def open_count(self) -> int:
         """:returns: Number of open connections."""
@@ -206,19 +226,26 @@
 
     async def acquire(self, statement: WaitingStatement) -> PooledConnection:
         """Acquire a connection, in the order of the waiting line."""
-        if self.available() == 0 or len(self._line):
-            await self._wait(statement)
+        self._require_answering()
+        await self._wait_for_turn(statement)
+        self._require_answering()
         self._held += 1
         try:
-            return self._take_idle(statement.organisation) or await self._open(statement.organisation, statement.until)
+            idle = self._take_idle(statement.organisation)
+            pooled = idle or await self._open(statement.organisation, statement.until)
         except BaseException:
             self._held -= 1
             self._wake_waiters()
             raise
+        self._pacing.assign(pooled.connection, statement)
+        self._holders.add(pooled.connection, statement)
+        return pooled
 
     def release(self, pooled: PooledConnection, *, is_clean: bool) -> None:
         """Release a connection; one that is not clean is closed."""
         self._held -= 1
+        self._pacing.withdraw(pooled.connection)
+        self._holders.remove(pooled.connection)
         if is_clean and pooled.connection.is_open and not self.is_closed and self._may_keep():
             pooled.used_at = self._board.clock()
             self._idle.append(pooled)
@@ -234,6 +261,11 @@
             pooled.connection.close()
         self._idle.clear()
 
+    def use_line(self, line: type[ArrivalLine | FairLine]) -> None:
+        """Order the waiting statements anew if another line is to be used, since there are more or fewer instances."""
+        if not isinstance(self._room.line, line):
+            self._room.change_line(line())
+
     def sweep(self) -> None:
         """Close connections that have reached the idle timeout or were closed by the target."""
         oldest = self._board.clock() - _IDLE_TIMEOUT_S
@@ -243,6 +275,21 @@
                 pooled.connection.close()
         self._close_surplus()
 
+    def _require_answering(self) -> None:
+        """:raises TargetSilent: Its callers do better elsewhere than in the line."""
+        if self._is_silent():
+            raise TargetSilent(f'{self.target.target} does not answer')
+
+    def _is_silent(self) -> bool:
+        """:returns: Whether the target gave no sign of itself and is not to be tried now, or is being tried."""
+        health = self._board.health_of(self.target)
+        is_tried = self._active() > 0 or not health.is_usable(self._board.clock())
+        return health.is_silent and is_tried and self._pacing.is_paced()
+
+    def _active(self) -> int:
+        """:returns: Number of statements and openings that are at the target."""
+        return self._held - self._pacing.resting
+
     @property
     def _share(self) -> ConnectionShare:
         return self._share_of()
@@ -253,38 +300,42 @@
             self._board.clock() < self._full_until + _NO_KEEP_AFTER_FULL_S
             or self._board.uptime_s() < _NO_KEEP_AFTER_START_S
         )
-        return not is_scarce
+        return self._share.is_common or not is_scarce
 
     def _close_surplus(self) -> None:
         while self._idle and self.open_count() > self._share.max_kept:
             self._idle.pop(0).connection.close()
 
-    async def _wait(self, statement: WaitingStatement) -> None:
-        now = self._board.clock()
-        waker = asyncio.get_running_loop().create_future()
-        self._line.add(statement, now)
-        self._wakers_by_statement[statement] = waker
+    async def _wait_for_turn(self, statement: WaitingStatement) -> None:
+        if self.available() > self._room.woken and not len(self._room) and self._may_hold(statement):
+            self._room.pass_by(statement)
+            return
         try:
-            await asyncio.wait_for(waker, max(statement.until - now, 0))
-        except TimeoutError:
-            raise Refused(
-                QUEUE_FULL,
-                f'no connection to {self.target.target} became free in {statement.until - now:.2f} s',
-                _RETRY_AFTER_S,
-            ) from None
-        finally:
-            self._line.remove(statement)
-            self._wakers_by_statement.pop(statement)
+            await self._room.wait(statement)
+        except BaseException:
+            self._wake_waiters()
+            raise
 
     def _wake_waiters(self) -> None:
-        free = self.available()
-        for statement in self._line.in_order(self._board.clock()):
-            if free <= 0:
-                return
-            waker = self._wakers_by_statement[statement]
-            if not waker.done():
-                waker.set_result(None)
-                free -= 1
+        if self._is_silent():
+            # Nobody waits for a silent target.
+            self._room.wake(len(self._room), (), lambda _statement: True)
+            return
+        free = self.available() - self._room.woken
+        self._room.wake(free, (pooled.organisation for pooled in self._idle), self._may_hold)
+
+    def _may_hold(self, statement: WaitingStatement) -> bool:
+        """:returns: Whether a statement may take a connection, though it will keep it for a transaction."""
+        if not statement.opens_transaction or isinstance(self._room.line, ArrivalLine):
+            return True
+        return resting.may_open(self._holders.transactions, self._share.max_open, self._room.singles())
+
+    def _concurrency(self) -> float:
+        """:returns: Number of statements that run at the target at a time."""
+        return min(self._pacing.limit(), self._share.max_open)
+
+    def _expected_s(self) -> float:
+        return self._board.health_of(self.target).statement_s
 
     def _take_idle(self, organisation: OrganisationId) -> PooledConnection | None:
         for index in range(len(self._idle) - 1, -1, -1):
@@ -333,7 +384,7 @@
         except Refused as refusal:
             if refusal.reason.kind in {RefusalKind.TOO_MANY_CONNECTIONS, RefusalKind.OVERLOADED}:
                 self._full_until = self._board.clock() + _FULL_TARGET_PAUSE_S
-                self.pace.record_overload(self._board.clock())
+                self._pacing.record_overload()
                 raise Refused(TARGET_BUSY, refusal.detail, _RETRY_AFTER_S) from refusal
             raise TargetLost(f'{self.target.target} refused the connection: {refusal.detail}') from refusal
         return PooledConnection(connection, self.target, organisation, self)
@@ -357,6 +408,7 @@
     ) -> None:
         self._board = board
         self._driver = driver
+        self.queues = QueueStatistics()
         self._directory = GatewayDirectory(board, is_used=False) if directory is None else directory
         self._gateway_source = gateway_source
         self._sources_by_target: dict[TargetId, tuple[TargetPool, ConnectionSource]] = {}
@@ -392,9 +444,14 @@
         """:returns: Number of open connections to all targets."""
         return sum(pool.open_count() for pool in self.pools_by_target.values())
 
+    def is_scarce(self, target: TargetDescription) -> bool:
+        """:returns: Whether a target has fewer than two connections for each instance."""
+        return self._directory.is_scarce(target)
+
     def sweep(self) -> None:
         """Close connections that are no longer needed."""
         for pool in self.pools_by_target.values():
+            pool.use_line(FairLine if self._directory.is_scarce(pool.target) else ArrivalLine)
             pool.sweep()
 
     def close(self) -> None:
@@ -414,7 +471,14 @@
 
     def _new_pool(self, target: TargetDescription) -> TargetPool:
         """:returns: A pool for a target; the one place that decides its waiting line and its pace."""
-        return TargetPool(self._board, self._driver, target, lambda: self.share_of(target))
+        pace = None
+        if self._gateway_source is not None:
+            found = self._board.paces.of(target, self._board.clock(), GATEWAYS_OF_TARGET)
+            pace = PaceWhileHolding(found, lambda: self._directory.is_gateway(target))
+        line = FairLine() if self._directory.is_scarce(target) else None
+        return TargetPool(
+            self._board, self._driver, target, lambda: self.share_of(target), line, pace, queues=self.queues
+        )
 
 
 def _is_different_incarnation(known: TargetDescription, present: TargetDescription) -> bool:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -6,7 +6,8 @@
 
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.freshness import Sample
-from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind
+from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind, TargetDescription
+from fescuequay_core.relay.repeats import RepeatBudgets
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.types import Instant, RequestId, TargetId, Verdict
 from fescuequay_entry.relay.board import Board, log_event
@@ -44,6 +45,7 @@
         self._board = board
         self._pools = pools
         self._selector = TargetSelector(board, pools)
+        self._budgets = RepeatBudgets()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run_single(
@@ -72,7 +74,8 @@
         :raises Refused: No connection was available in time; nothing has run.
         """
         while True:
-            if needs_primary or operation.route.consistency is Consistency.PRIMARY:
+            operation.is_bound = needs_primary or operation.route.consistency is Consistency.PRIMARY
+            if operation.is_bound:
                 choice = Choice(*await self._selector.await_leader(operation, tried))
             else:
                 choice = await self._selector.choose_reader(operation, tried)
@@ -158,6 +161,8 @@
         if kind is RefusalKind.NO_SUCH_STATEMENT:
             placement.pooled.names_by_shape.clear()
             return
+        if not self._may_repeat(target):
+            raise fault
         tried.add(target.target)
         if kind is RefusalKind.BEHIND:
             self._board.health_of(target).record_behind(now)
@@ -255,7 +260,8 @@
         pending: set[asyncio.Task[tuple[Outcome, Placement]]] = set()
         failures: list[Refused] = []
         for limit_s in (self._hedge_delay_s(operation), operation.route.timeout_s):
-            pending.add(self._spawn(self._read_with_retries(operation, request, statement, shape, tried)))
+            if not pending or self._may_hedge(operation):
+                pending.add(self._spawn(self._read_with_retries(operation, request, statement, shape, tried)))
             outcome, pending = await self._first_success(
                 pending, min(self._board.clock() + limit_s, operation.until), failures
             )
@@ -364,6 +370,17 @@
         ]
         return max(_MIN_HEDGE_DELAY_S, _HEDGE_FACTOR * min(times, default=_MIN_HEDGE_DELAY_S))
 
+    def _may_hedge(self, operation: Operation) -> bool:
+        """:returns: Whether a read may be sent to a second target; it may cost too much where connections are few."""
+        target = self._board.targets_by_id.get(operation.sent_to) if operation.sent_to is not None else None
+        if target is None:
+            return not any(self._pools.is_scarce(one) for one in self._board.targets_of(operation.route.service))
+        return self._may_repeat(target)
+
+    def _may_repeat(self, target: TargetDescription) -> bool:
+        """:returns: Whether a statement of a target may be repeated; where connections are scarce, it is charged."""
+        return not self._pools.is_scarce(target) or self._budgets.of(target.target).spend()
+
     def _spawn(self, step: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
         task = asyncio.ensure_future(step)
         self._tasks.add(task)
@@ -379,8 +396,7 @@
     async def _try_place(self, operation: Operation, choice: Choice, tried: set[TargetId]) -> Placement | None:
         target = choice.target
         source = self._pools.source_of(target)
-        acquire_until = max(operation.began_at + operation.route.aim_s, self._board.clock() + operation.route.aim_s / 2)
-        until = self._board.may_wait_until(min(operation.until, acquire_until))
+        until = self._board.may_wait_until(self._acquire_until(operation, target))
         try:
             pooled = await source.acquire(operation.waiting_statement(until))
         except TargetLost as error:
@@ -391,6 +407,8 @@
         except Refused as refusal:
             await self._pause_after_refusal(operation, target.target, refusal, tried)
             return None
+        operation.sent_to = target.target
+        self._budgets.of(target.target).record_statement()
         placement = Placement(pooled, choice.record, choice.after)
         pooled.note_record(choice.record)
         try:
@@ -408,12 +426,30 @@
     async def _pause_after_refusal(
         self, operation: Operation, target: TargetId, refusal: Refused, tried: set[TargetId]
     ) -> None:
-        """Avoid a target that had no connection, and pause. :raises Refused: The aim has passed."""
+        """Avoid a target that had no connection, and pause.
+
+        :raises Refused: The aim has passed, or there is no room at any target.
+        """
         tried.add(target)
+        has_room = refusal.reason is not refusals.NO_ROOM
+        if not has_room and (operation.is_bound or self._are_all_tried(operation, tried)):
+            raise refusal
         if self._board.clock() >= operation.began_at + operation.route.aim_s:
             raise refusal
         log_event('target_full', target=target, detail=refusal.detail)
-        await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+        if has_room:
+            await asyncio.sleep(BUSY_TARGET_PAUSE_S)
+
+    def _acquire_until(self, operation: Operation, target: TargetDescription) -> Instant:
+        """:returns: When an operation must have got a connection; one that gets it later is refused."""
+        aim_at = operation.began_at + operation.route.aim_s
+        if self._pools.is_scarce(target):
+            # Late work is done while there is room; the line refuses it as soon as there is none.
+            return max(aim_at, operation.until - self._board.health_of(target).statement_s)
+        return min(operation.until, max(aim_at, self._board.clock() + operation.route.aim_s / 2))
+
+    def _are_all_tried(self, operation: Operation, tried: set[TargetId]) -> bool:
+        return all(target.target in tried for target, _ in self._board.read_targets_of(operation.route.service))
 
     def _record_outcome(self, placement: Placement, sent_at: Instant, outcome: Outcome) -> None:
         now = self._board.clock()
