--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -100,12 +100,12 @@
         # When most instances last answered probes.
         self._others_answered_at: Instant = board.clock()
         self._reach = Reach()
+        self._exchanging: set[str] = set()
+        self._news = NewsSender(peers)
         self._probe_rotation = ProbeRotation(board.own.instance)
         # The coordinator that answered last, and the newest format of lists that it reads.
         self._reader_address = ''
         self._reads = 1
-        self._exchanging: set[str] = set()
-        self._news = NewsSender(peers)
 
     async def run(self) -> None:
         """Run rounds, path checks and the token supply until cancelled."""
