--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -113,6 +113,12 @@
         self.configuration = Gauge(
             'fescuequay_configuration_version', 'Configuration in force.', registry=self.registry
         )
+        self.target_limit = Gauge(
+            'fescuequay_target_limit',
+            'Statements that may be at a target at a time.',
+            ('target',),
+            registry=self.registry,
+        )
 
         self.gateway = GatewayMetrics(self.registry)
 
