Pause before a silent primary is tried again, and leave defaults out of exchanges

Cause: where lines, paces and gateways met, a write whose primary was silent was tried again without any time passing (gateways.feature did not end); exchanges of large deployments took 3.16 KB/s, over the bound of 3.

--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable
 from typing import Final
 
+import msgspec
+
 from fescuequay_core.relay.freshness import Sample
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.intervals import contact_timeout_s, exchange_interval_s, retry_interval_s, urgent_interval_s
@@ -351,7 +353,7 @@
         if answer.records_since is not None and answer.records_since == request.records:
             # The records that it does not repeat are those that the digest stood for, not those known by now.
             newest = {record.service: record for record in (*known, *answer.records)}
-            answer = dataclasses.replace(answer, records=tuple(newest.values()))
+            answer = msgspec.structs.replace(answer, records=tuple(newest.values()))
         self._apply_answer(answer, address, began_at)
         return True
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -50,8 +50,7 @@
     tokens: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ExchangeRequest:
+class ExchangeRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """Periodic request of an instance to the coordinator.
 
     :param member: The instance that asks.
@@ -91,8 +90,7 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ExchangeAnswer:
+class ExchangeAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """Answer of the coordinator to an exchange; ages count back from the creation of the answer.
 
     :param is_coordinator: Whether the instance that answers holds the coordinator lease.
@@ -123,7 +121,7 @@
     record_age_s: float = 0.0
     members: Difference[MemberRecord] | None = None
     supply: SupplyAnswer | None = None
-    samples: dict[str, PositionSample] = dataclasses.field(default_factory=dict)
+    samples: dict[str, PositionSample] = msgspec.field(default_factory=dict)
     configuration_version: int = -1
     targets: Difference[TargetDescription] | None = None
     evacuated: tuple[float, dict[str, float]] | None = None
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -13,7 +13,7 @@
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.operation import Choice, FailedAttempts, InFlightWrite, Operation, Placement
 from fescuequay_entry.relay.pool import Pools
-from fescuequay_entry.relay.ports import GatewayRefused, NotSent, Outcome, TargetLost
+from fescuequay_entry.relay.ports import GatewayRefused, NotSent, Outcome, TargetLost, TargetSilent
 from fescuequay_entry.relay.target_selector import (
     BUSY_TARGET_PAUSE_S,
     FAILOVER_WAIT_SHARE,
@@ -403,6 +403,9 @@
             tried.add(target.target)
             if self._board.clock() >= operation.began_at + operation.route.timeout_s * FAILOVER_WAIT_SHARE:
                 raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
+            if choice.record is not None and isinstance(error, TargetSilent):
+                # Nothing but the primary can run it, and nothing was tried, so that no time has passed.
+                await asyncio.sleep(BUSY_TARGET_PAUSE_S)
             return None
         except Refused as refusal:
             await self._pause_after_refusal(operation, target.target, refusal, tried)
