--- a/features/uneven_demand.py
+++ b/features/uneven_demand.py
@@ -75,7 +75,7 @@
             for target in targets
         ]
         draw = rng.random() if is_drawn else -1.0
-        chosen = placement.pick(candidates, data_centre, now, draw, is_replicated=True)
+        chosen = placement.pick(candidates, data_centre, now, lambda draw=draw: draw, is_replicated=True)
         assert chosen is not None
         name = chosen.target.target
         work_s = rng.expovariate(1 / _WORK_S)
--- a/packages/fescuequay-core/fescuequay_core/relay/placement.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/placement.py
@@ -1,7 +1,7 @@
 """Ranks the targets of a read by the expected time of the answer; replicas that have the data precede the primary."""
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 from fescuequay_core.relay.health import TargetHealth
@@ -80,7 +80,7 @@
 
 
 def pick(
-    candidates: Iterable[Candidate], data_centre: str, now: Instant, draw: float, *, is_replicated: bool
+    candidates: Iterable[Candidate], data_centre: str, now: Instant, draw: Callable[[], float], *, is_replicated: bool
 ) -> Candidate | None:
     """Pick the target of a read.
 
@@ -90,7 +90,7 @@
     :param candidates: Targets that are neither draining nor gone.
     :param data_centre: Where this instance runs.
     :param now: Present time.
-    :param draw: Random number from 0 to 1.
+    :param draw: Draws a random number from 0 to 1.
     :param is_replicated: Whether the required position is old enough for a healthy replica to have it.
     :returns: The target; nothing without candidates.
     """
@@ -103,7 +103,7 @@
         for candidate, cost in zip(ranked, costs, strict=True)
         if cost[:2] == costs[0][:2]
     ]
-    left = draw * sum(weight for _, weight in alike)
+    left = draw() * sum(weight for _, weight in alike)
     for candidate, weight in alike:
         left -= weight
         if left < 0:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -152,8 +152,7 @@
                 )
         is_replicated = required is not None and now - required[1] >= placement.REPLICATION_DELAY_S
         untried = placement.exclude_tried(placement.exclude_silent(candidates, now), frozenset(tried))
-        draw = random.random()  # noqa: S311 -- spreads reads, no secret
-        best = placement.pick(untried, self._board.own.data_centre, now, draw, is_replicated=is_replicated)
+        best = placement.pick(untried, self._board.own.data_centre, now, random.random, is_replicated=is_replicated)
         leader = self._board.leader(operation.route.service)
         if best is None or (best.is_primary and leader is None):
             return None
