--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -62,14 +62,11 @@
             registry=registry,
         )
         self.held = Gauge(
-            'fescuequay_gateway_connections', 'Open connections to targets that this gateway holds.', registry=registry
+            'fescuequay_gateway_connections', 'Open connections of this instance to targets.', registry=registry
         )
         self.lent = Gauge(
             'fescuequay_gateway_leases', 'Connections that transactions of other instances use.', registry=registry
         )
-        self.opened = Counter(
-            'fescuequay_connections_opened_total', 'Connections opened to targets.', registry=registry
-        )
         self.wait = Histogram(
             'fescuequay_gateway_wait_seconds',
             'Time for which requests of other instances waited for a connection.',
