--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 
 test: setup-dev lint  ## lint, then run every check that CI runs
 	@cat KNOWN-RED.txt
-	ls features/*.feature | grep -v real.feature | xargs -P $(JOBS) -I{} $(BIN)/behave $(REPORT) --tags="not @real" --tags="not @known-red" {}
-	$(BIN)/behave $(REPORT) --tags=@real --tags="not @known-red" features
+	ls features/*.feature | grep -v real.feature | xargs -P $(JOBS) -I{} $(BIN)/python -m behave $(REPORT) --tags="not @real" --tags="not @known-red" {}
+	$(BIN)/python -m behave $(REPORT) --tags=@real --tags="not @known-red" features
 	$(BIN)/python -m spec.prove
 	$(BIN)/python -m spec.prove --mutants > /dev/null
 
