Put a bound of the pace back to its first value, and list its case as red

Cause: the bound on the waits at a silent target was raised from 20 to 35 s after runs that failed it.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -77,10 +77,11 @@
       | is silent for 0.5 s   |
       | is promoted           |
 
+  @known-red
   Scenario: Callers of a silent target are sent elsewhere at once
     Given a pool of 20 connections with a pace to a target with 4 slots
     When 40 callers run reads for 4 s, and after 2 s the target is silent for 2 s
-    Then while it is silent, callers wait for at most 35 s in all
+    Then while it is silent, callers wait for at most 20 s in all
 
   Scenario: The demand of three data centres swings by 0.55, and all instances choose by the same figures
     When a wave of demand is played for 26 s, with the draw and without it
