Log by which configuration each request was judged, and how old its last reading was

Change: served, refused and session_refused name the version, its source, how long it has been held, and the age of the last reading of the operators' row, here or at the coordinator; configuration_adopted and feed_lost have that age too; a gauge shows it between requests.

--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,9 @@
+Feature: A configuration is in force everywhere in time, whichever connection, reader or peer fails
+  Operators allow 3 s from the table's acknowledgement of a version. The coordinator reads the operators' row for all
+  instances.
+
+  Scenario: The log of a request tells by which version it was judged
+    Given 5 instances in virtual time
+    When callers send statements for 2 s, and a key is withdrawn meanwhile
+    Then each served and refused request names a version, its source, and an age of both it and the last reading
+    And the requests after the change name a newer version than those before
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,65 @@
+"""Steps about the time until a configuration is in force everywhere, and what the logs tell of it."""
+
+import asyncio
+import logging
+from typing import Any, Final
+
+from behave import then, when
+
+from fescuequay_emulator.load import Load
+from fescuequay_emulator.world import World
+
+_PER_S: Final = 40.0
+_SESSIONS: Final = 10
+
+
+class Pairs(logging.Handler):
+    """Keeps the pairs of each event by the event's name."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pairs_by_event: dict[str, list[dict[str, Any]]] = {}
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.pairs_by_event.setdefault(record.getMessage(), []).append(getattr(record, 'pairs'))
+
+
+@when('callers send statements for {seconds:g} s, and a key is withdrawn meanwhile')
+def step_load(context: Any, seconds: float) -> None:
+    world: World = context.relay
+    context.logged = Pairs()
+    log = logging.getLogger('fescuequay')
+    earlier_level = log.level
+
+    async def run(_: World) -> None:
+        await world.start()
+        log.addHandler(context.logged)
+        log.setLevel(logging.INFO)
+        loading = asyncio.ensure_future(Load(world, _PER_S, _SESSIONS).run(seconds))
+        await asyncio.sleep(seconds / 2)
+        world.withdraw_key(world.credentials()[0])
+        await loading
+
+    disabled, logging.root.manager.disable = logging.root.manager.disable, logging.NOTSET
+    try:
+        world.run(run)
+    finally:
+        logging.root.manager.disable = disabled
+        log.removeHandler(context.logged)
+        log.setLevel(earlier_level)
+
+
+@then('each served and refused request names a version, its source, and an age of both it and the last reading')
+def step_named(context: Any) -> None:
+    requests = [*context.logged.pairs_by_event['served'], *context.logged.pairs_by_event['refused']]
+    assert len(requests) > _PER_S, len(requests)
+    for pairs in requests:
+        assert pairs['version'] >= 1, pairs
+        assert pairs['version_source'] == 'table' or pairs['version_source'].startswith('peer '), pairs
+        assert pairs['version_held_s'] >= 0 and pairs['read_age_s'] >= 0, pairs
+
+
+@then('the requests after the change name a newer version than those before')
+def step_newer(context: Any) -> None:
+    versions = [pairs['version'] for pairs in context.logged.pairs_by_event['served']]
+    assert versions[0] < versions[-1] == max(versions), (versions[0], versions[-1])
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -31,6 +31,9 @@
 #: better at another instance.
 _STARTUP_S: Final = 0.4
 
+#: Name of the operators' feed.
+OPERATOR_FEED: Final = 'configuration'
+
 _log = logging.getLogger('fescuequay')
 
 
@@ -63,6 +66,31 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationBasis:
+    """What an instance knows of the configuration by which it judges a request.
+
+    :param version: Version in force; -1 for none.
+    :param source: Where it came from: the table, or a peer with its address.
+    :param held_s: Time since this instance adopted it, in seconds.
+    :param read_age_s: Time since the operators' row was last read, here or by the coordinator, in seconds.
+    """
+
+    version: int
+    source: str
+    held_s: float
+    read_age_s: float
+
+    def pairs(self) -> dict[str, Any]:
+        """:returns: The pairs of a log line."""
+        return {
+            'version': self.version,
+            'version_source': self.source,
+            'version_held_s': round(self.held_s, 2),
+            'read_age_s': round(self.read_age_s, 2),
+        }
+
+
 class Board:
     """State shared by the controllers.
 
@@ -87,10 +115,14 @@
         self.clock = clock
         self._began_at = clock()
         self.configuration: Configuration | None = None
+        self._configuration_source = '-'
+        self._configuration_adopted_at = self._began_at
         self.targets_by_id = Registry()
         self.has_targets = False
         self.evacuations = evacuations or Evacuations(_EVACUATION_S)
         self.feed_answered_at: dict[str, Instant] = {}
+        # A time at which the operators' row was certainly read, by this instance or by the coordinator.
+        self._operators_read_at: Instant = self._began_at
         self.relayed_until: Instant = float('-inf')
         self.members_by_id: dict[InstanceId, MemberRecord] = {}
         # The list as instances send it to each other; a new incarnation at the same address is not a change.
@@ -129,12 +161,41 @@
         held = self.configuration.version if self.configuration else -1
         if configuration.version <= held:
             return False
+        now = self.clock()
         self.configuration = configuration
+        self._configuration_source = source
+        self._configuration_adopted_at = now
         self.buckets.configure(configuration)
-        log_event('configuration_adopted', version=configuration.version, earlier=held, source=source)
+        log_event(
+            'configuration_adopted',
+            version=configuration.version,
+            earlier=held,
+            source=source,
+            read_age_s=round(now - self._operators_read_at, 2),
+        )
         self.changes.on_next('configuration')
         return True
 
+    def configuration_basis(self) -> ConfigurationBasis:
+        """:returns: By which configuration a request is judged now, and how recent that is."""
+        now = self.clock()
+        return ConfigurationBasis(
+            self.configuration.version if self.configuration else -1,
+            self._configuration_source,
+            now - self._configuration_adopted_at,
+            now - self._operators_read_at,
+        )
+
+    def record_feed_answer(self, feed: str) -> None:
+        """Record that a feed has answered this instance, with or without changes."""
+        self.feed_answered_at[feed] = self.clock()
+        if feed == OPERATOR_FEED:
+            self.record_operators_reading(self.clock())
+
+    def record_operators_reading(self, at: Instant) -> None:
+        """Record that the operators' row was certainly read at a time, and that a newer version is being fetched."""
+        self._operators_read_at = max(self._operators_read_at, at)
+
     def update_record(
         self, record: LeaderRecord, confirmed_at: Instant, source: str, written_by: Instant | None = None
     ) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -13,9 +13,9 @@
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription, TargetReport
 from fescuequay_core.relay.tokenpool import TokenPool, TokenRequest
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
-from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.board import OPERATOR_FEED, Board, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
-from fescuequay_entry.relay.followers import FEED_COUNT, OPERATOR_FEED, RELAYED_FEED_MAX_AGE_S
+from fescuequay_entry.relay.followers import FEED_COUNT, RELAYED_FEED_MAX_AGE_S
 from fescuequay_entry.relay.messages import (
     MANY_RECORDS,
     ExchangeAnswer,
--- a/packages/fescuequay-entry/fescuequay_entry/relay/feed_reader.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/feed_reader.py
@@ -76,6 +76,7 @@
             raise TableError(f'answer of era {batch.era}, the present one is {self._era}')
         if self._is_new_era(batch) and not is_snapshot:
             raise HistoryLost
+        self._board.record_feed_answer(self._name)
         if batch.items or is_snapshot:
             self._apply(dict(batch.items), is_snapshot)
         self._version = batch.version
@@ -113,17 +114,21 @@
         """Log the first of consecutive failures, and pause."""
         self._on_failure()
         if not self._is_lost:
-            log_event('feed_lost', feed=self._name, detail=str(error))
+            log_event('feed_lost', feed=self._name, age_s=self._age_s(), detail=str(error))
         self._is_lost = True
         pause_s = retry_interval_s(self._board.member_count())
         await asyncio.sleep(random.uniform(pause_s / 2, pause_s * 2))  # noqa: S311 -- spreads calls, no secret
 
     def _handle_answer(self) -> None:
-        self._board.feed_answered_at[self._name] = self._board.clock()
         if self._is_lost:
             log_event('feed_regained', feed=self._name, version=self._version)
         self._is_lost = False
 
+    def _age_s(self) -> float | None:
+        """:returns: Time since the feed last answered this instance, in seconds; nothing if it never did."""
+        answered_at = self._board.feed_answered_at.get(self._name)
+        return None if answered_at is None else round(self._board.clock() - answered_at, 2)
+
     async def _wait_while_relayed(self) -> bool:
         """Wait for as long as the coordinator relays the feeds.
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -12,7 +12,7 @@
 from fescuequay_core.relay.missing import MissingEntries
 from fescuequay_core.relay.model import Configuration, Evacuation, TargetDescription
 from fescuequay_core.types import Instant, TargetId
-from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.board import OPERATOR_FEED, Board, log_event
 from fescuequay_entry.relay.feed_reader import LONG_POLL_S, FeedReader
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
 from fescuequay_entry.relay.ports import Feed, HistoryLost, OperatorEntry, PeerError, Peers, TableError
@@ -30,9 +30,6 @@
 #: Minimum pause between two attempts to get a configuration, in seconds: about the time that a parent takes to get it.
 _FETCH_PAUSE_S: Final = 0.12
 
-#: Name of the operators' feed.
-OPERATOR_FEED: Final = 'configuration'
-
 _NOTHING_KNOWN: Final[Mapping[str, Instant]] = types.MappingProxyType({})
 
 
@@ -146,7 +143,10 @@
             if answer.configuration is not None:
                 self._board.adopt(answer.configuration, f'peer {address}')
         else:
-            self._apply(dict((await self._feed.snapshot()).items), is_snapshot=True)
+            began_at = self._board.clock()
+            batch = await self._feed.snapshot()
+            self._board.record_operators_reading(began_at)
+            self._apply(dict(batch.items), is_snapshot=True)
 
     def _record_failure(self) -> None:
         self._missing.record_failure(self._board.clock())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -253,6 +253,7 @@
             self.metrics.set_queue(self._pools.queues)
             if self.board.configuration is not None:
                 self.metrics.configuration.set(self.board.configuration.version)
+            self.metrics.configuration_read_age.set(self.board.configuration_basis().read_age_s)
             for target, limit in self.board.paces.limits(self.board.clock()):
                 self.metrics.target_limit.labels(target).set(limit)
             if _suspended_s() - gap_s > _SUSPENSION_THRESHOLD_S:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -406,6 +406,7 @@
             self._configurations.adopt_evacuations(
                 {name: began_at - age_s for name, age_s in ages_s.items()}, began_at - feed_age_s
             )
+        board.record_operators_reading(began_at - answer.feed_age_s)
         if answer.feed_age_s < RELAYED_FEED_MAX_AGE_S:
             board.relayed_until = began_at + contact_timeout_s(board.member_count())
         for service, sample in answer.samples.items():
--- a/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/metrics.py
@@ -110,6 +110,11 @@
         self.configuration = Gauge(
             'fescuequay_configuration_version', 'Configuration in force.', registry=self.registry
         )
+        self.configuration_read_age = Gauge(
+            'fescuequay_configuration_read_age_seconds',
+            "Time since the operators' row was last read, here or by the coordinator.",
+            registry=self.registry,
+        )
         self.target_limit = Gauge(
             'fescuequay_target_limit',
             'Statements that may be at a target at a time.',
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -82,6 +82,7 @@
         self._commit_position: LogPosition | None = None
         self._reported_position: LogPosition | None = None
         self._transaction: OpenTransaction | None = None
+        self._basis = board.configuration_basis()
         self.is_busy = True
 
     async def run(self) -> None:
@@ -119,7 +120,12 @@
         try:
             self._admit()
         except Refused as refusal:
-            log_event('session_refused', database=message.database, reason=refusal.reason.code)
+            log_event(
+                'session_refused',
+                database=message.database,
+                reason=refusal.reason.code,
+                **self._basis.pairs(),
+            )
             self._metrics.refused.labels(refusal.reason.code).inc()
             self._caller.reject_session(refusal)
             return False
@@ -186,6 +192,7 @@
                 verdict=refusal.reason.verdict.value,
                 held_ms=round((self._board.clock() - began_at) * 1000, 1),
                 detail=refusal.detail,
+                **self._basis.pairs(),
             )
             self._metrics.refused.labels(outcome).inc()
             if refusal.reason in {refusals.UNKNOWN_KEY, refusals.UNKNOWN_DATABASE} and self._transaction is None:
@@ -196,7 +203,11 @@
             )
             if outcome == 'served' and where != '-':
                 log_event(
-                    'served', request=query.request, target=where, ms=round((self._board.clock() - began_at) * 1000, 1)
+                    'served',
+                    request=query.request,
+                    target=where,
+                    ms=round((self._board.clock() - began_at) * 1000, 1),
+                    **self._basis.pairs(),
                 )
 
     async def _dispatch(self, query: Query, began_at: Instant) -> str:
@@ -230,6 +241,7 @@
         return placement.pooled.target.target
 
     def _admit(self) -> tuple[Route, OrganisationId]:
+        self._basis = self._board.configuration_basis()
         return admission.admit(self._board, self._database, self._credential)
 
     async def _start_operation(self, began_at: Instant) -> Operation:
