Show that the whole fleet is late when the coordinator's feed goes silent (red)

Cause: callers got 404 for a route that was there, or were served by one that was gone, up to 3.8 s after the acknowledgement: one call of one instance, on one connection, carries the operators' changes to all.

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,6 +9,9 @@
 from fescuequay_emulator.load import Load
 from fescuequay_emulator.world import World
 
+#: Time until the first feed call of each instance has ended, in seconds; then the coordinator reads for all.
+_RELAYING_S: Final = 6.0
+
 _PER_S: Final = 40.0
 _SESSIONS: Final = 10
 
@@ -63,3 +66,47 @@
 def step_newer(context: Any) -> None:
     versions = [pairs['version'] for pairs in context.logged.pairs_by_event['served']]
     assert versions[0] < versions[-1] == max(versions), (versions[0], versions[-1])
+
+
+def _coordinator(world: World) -> str:
+    now = world.loop.time()
+    return next(name for name, instance in world.instances.items() if instance.board.lease.holds(now))
+
+
+def _holds(world: World, name: str, version: int) -> bool:
+    configuration = world.instances[name].board.configuration
+    return configuration is not None and configuration.version >= version
+
+
+async def _time_until_held(world: World, version: int) -> float:
+    """:returns: Time until every instance holds a version, in seconds."""
+    began_at = world.loop.time()
+    while not all(_holds(world, name, version) for name in world.instances):
+        await asyncio.sleep(0.01)
+    return world.loop.time() - began_at
+
+
+@when("the coordinator's connections to the table go silent right after a call began, and a key is withdrawn")
+def step_silent(context: Any) -> None:
+    world: World = context.relay
+
+    async def run(_: World) -> None:
+        await world.start()
+        await asyncio.sleep(_RELAYING_S)
+        # First changes end the calls that the coordinator waits on, and the next ones begin.
+        target = world.primary_of('s0')
+        world.registry.put(target.name, target.description)
+        world.withdraw_key(world.credentials()[0])
+        await _time_until_held(world, world.checker.configurations[-1][1].version)
+        coordinator = _coordinator(world)
+        world.store.silence_connections(coordinator)
+        world.withdraw_key(world.credentials()[1])
+        context.took_s = await _time_until_held(world, world.checker.configurations[-1][1].version)
+        assert _coordinator(world) == coordinator, 'the lease was renewed on another connection'
+
+    world.run(run)
+
+
+@then('every instance holds the new configuration within {limit:g} s')
+def step_in_time(context: Any, limit: float) -> None:
+    assert context.took_s <= limit, context.took_s
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -263,6 +263,11 @@
         world.store.faults = StoreFaults()
 
 
+async def _silence(world: World, fault: Fault) -> None:
+    """Let the connections of an instance to the table go silent; new ones work."""
+    world.store.silence_connections(_instance(world, fault))
+
+
 async def _restore(world: World, fault: Fault) -> None:
     """Let the table be away for ``for_s`` and come back from a copy that is ``share`` seconds old."""
     began_at = world.loop.time()
@@ -351,8 +356,9 @@
 #: Kinds of faults, from which random schedules are drawn.
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
 
-#: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, and
-#: operators evacuate a data centre.
+#: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, operators
+#: evacuate a data centre, and connections to the table go silent.
 DRILL_KIND: Final = 'restore'
 EVACUATION_KIND: Final = 'evacuate'
-_ACTIONS_BY_KIND.update({DRILL_KIND: _restore, EVACUATION_KIND: _evacuate})
+SILENCE_KIND: Final = 'silence'
+_ACTIONS_BY_KIND.update({DRILL_KIND: _restore, EVACUATION_KIND: _evacuate, SILENCE_KIND: _silence})
--- a/packages/fescuequay-emulator/fescuequay_emulator/table.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/table.py
@@ -78,6 +78,8 @@
         self._copies: list[tuple[float, int, dict[str, TableRow]]] = []
         self._rng = rng
         self._waiters: dict[asyncio.Future[None], None] = {}
+        # When the connections of each instance last went silent; calls that began earlier stay without an answer.
+        self._silent_at: dict[str, float] = {}
 
     async def keep_copies(self) -> None:
         """Keep copies of the rows for drills, until cancelled."""
@@ -136,8 +138,17 @@
         finally:
             self._waiters.pop(waiter, None)
 
-    async def receive_call(self, caller: str) -> None:
-        """Carry a call to the table and apply its faults. :raises TableRejected: The call was rejected."""
+    def silence_connections(self, caller: str) -> None:
+        """Let the connections of an instance go silent, so that calls under way get no answer; new ones work."""
+        self._silent_at[caller] = asyncio.get_running_loop().time()
+
+    async def receive_call(self, caller: str) -> float:
+        """Carry a call to the table and apply its faults.
+
+        :returns: When the call began, in seconds.
+        :raises TableRejected: The call was rejected.
+        """
+        began_at = asyncio.get_running_loop().time()
         self.calls += 1
         await self.network.transmit(caller, TABLE_NODE)
         if self.faults.is_silent:
@@ -145,6 +156,13 @@
         await asyncio.sleep(_CALL_DURATION_S * self.faults.slowdown_factor)
         if self.faults.is_busy or caller in self.faults.rejected:
             raise TableRejected('503')
+        return began_at
+
+    async def send_answer(self, caller: str, began_at: float) -> None:
+        """Carry the answer of a call back, unless its connection has gone silent meanwhile."""
+        if began_at < self._silent_at.get(caller, float('-inf')):
+            await asyncio.get_running_loop().create_future()
+        await self.network.transmit(TABLE_NODE, caller)
 
     def commit(self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]) -> CommitResult:
         """Write rows if every row in ``versions`` still has its version; version 0 means that the row is absent."""
@@ -200,20 +218,20 @@
         return await _with_timeout(self._commit(versions_by_key, puts, deletes), _CALL_TIMEOUT_S)
 
     async def _read(self) -> TableSnapshot:
-        await self._store.receive_call(self._caller)
+        began_at = await self._store.receive_call(self._caller)
         snapshot = TableSnapshot(
             tuple(self._store.rows[key] for key in sorted(self._store.rows)), self._store.clock_s(), self._store.era
         )
-        await self._store.network.transmit(TABLE_NODE, self._caller)
+        await self._store.send_answer(self._caller, began_at)
         return snapshot
 
     async def _commit(
         self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
     ) -> CommitResult:
-        await self._store.receive_call(self._caller)
+        began_at = await self._store.receive_call(self._caller)
         await self._store.simulate_lost_answer(versions, puts, deletes)
         written = self._store.commit(versions, puts, deletes)
-        await self._store.network.transmit(TABLE_NODE, self._caller)
+        await self._store.send_answer(self._caller, began_at)
         return written
 
 
@@ -266,14 +284,14 @@
 
     async def _snapshot(self) -> Batch[Item]:
         store = self._entries.store
-        await store.receive_call(self._caller)
+        began_at = await store.receive_call(self._caller)
         batch: Batch[Item] = Batch(dict(self._entries.items), store.version, store.era)
-        await store.network.transmit(TABLE_NODE, self._caller)
+        await store.send_answer(self._caller, began_at)
         return batch
 
     async def _changes(self, after: int, wait_s: float) -> Batch[Item]:
         store = self._entries.store
-        await store.receive_call(self._caller)
+        began_at = await store.receive_call(self._caller)
         era = store.era
         if not store.oldest_retained_version <= after <= store.version:
             raise HistoryLost
@@ -285,7 +303,7 @@
         batch: Batch[Item] = Batch(
             {key: self._entries.items.get(key) for key in self._changed_keys(after)}, store.version, store.era
         )
-        await store.network.transmit(TABLE_NODE, self._caller)
+        await store.send_answer(self._caller, began_at)
         return batch
 
     def _changed_keys(self, after: int) -> list[str]:
