Leave all kept connections to an end when one of them has gone silent

Callers saw: after connections went silent, one call after the other waited for its whole time limit, 0.4 s between instances and 1 s at the table, until the kept connections were used up. Cause: a call that was not answered in time closed its own connection; the next one took another one that had been kept since before the silence. Change: a call that is given up closes all kept connections to that address, so that the next one opens a new connection, which shows whether the other end is gone.

--- a/features/http.feature
+++ b/features/http.feature
@@ -52,6 +52,11 @@
       | silence | silence, ok | POST | timeout, 200 ok | 2 | 2 |
       | bytes that nobody asked for | ok and more, ok | POST | 200 ok, 200 ok | 2 | 2 |
 
+  Scenario: One silent connection is enough to leave the others that were kept
+    Given an HTTP end that has answered 3 requests on as many connections, which then go silent
+    When a client sends it 2 requests, each with a time limit
+    Then the first gets no answer and the second is answered on a new connection
+
   Scenario: A connection that is refused says that nothing was sent
     When a client sends a request to a port at which nobody listens
     Then the error says that nothing was sent
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -157,6 +157,13 @@
     check()
 
 
+class _Generation:
+    """Number of the connections that are answered; those of an earlier number are silent."""
+
+    def __init__(self) -> None:
+        self.number = 0
+
+
 class _ScriptedEnd:
     """Answers each request with the next answer of a script."""
 
@@ -233,6 +240,52 @@
     assert (context.end.requests, context.end.connections) == (count, connections)
 
 
+@given('an HTTP end that has answered {count:d} requests on as many connections, which then go silent')
+def step_silent_end(context: Any, count: int) -> None:
+    context.kept = count
+
+
+@when('a client sends it {count:d} requests, each with a time limit')
+def step_after_silence(context: Any, count: int) -> None:
+    present = _Generation()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened_in = present.number
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                if opened_in == present.number:
+                    # Late enough for all first requests to be under way at a time.
+                    await asyncio.sleep(_SILENCE_S / 5)
+                    writer.write(_OK)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def ask(client: HttpClient, address: str) -> str:
+        try:
+            async with asyncio.timeout(_SILENCE_S):
+                return (await client.request('POST', address, '/x')).body.decode()
+        except TimeoutError:
+            return 'timeout'
+
+    async def run() -> list[str]:
+        server = await asyncio.start_server(serve, _HOST, 0)
+        address = f'{_HOST}:{server.sockets[0].getsockname()[1]}'
+        client = HttpClient()
+        await asyncio.gather(*(ask(client, address) for _ in range(context.kept)))
+        present.number += 1
+        results = [await ask(client, address) for _ in range(count)]
+        client.close()
+        server.close()
+        return results
+
+    context.results = asyncio.run(run())
+
+
+@then('the first gets no answer and the second is answered on a new connection')
+def step_new_connection(context: Any) -> None:
+    assert context.results == ['timeout', 'ok'], context.results
+
+
 @when('a client sends a request to a port at which nobody listens')
 def step_refused(context: Any) -> None:
     async def run() -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -190,6 +190,12 @@
     async def _send(self, connection: _Connection, address: str, message: bytes) -> Response:
         try:
             response = await connection.send(message)
+        except asyncio.CancelledError:
+            connection.close()
+            # What silenced this connection may have silenced those that were kept; a new one shows whether the other
+            # end is gone.
+            self._close_idle(address)
+            raise
         except BaseException:
             connection.close()
             raise
@@ -199,6 +205,10 @@
             self._close_expired(connection.idle_since)
         return response
 
+    def _close_idle(self, address: str) -> None:
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
     def _close_expired(self, now: float) -> None:
         """Close connections to any address that have been idle for too long, so that none stays open for good."""
         if now - self._swept_at < _KEEP_ALIVE_S / 2:
