Ask the peer that told of a version for it once, not for as long as it answers in vain

Cause: the peer that had told of a version stayed the one to ask until a call to it failed; one that answers without a configuration, because it has restarted or another process has its address, was asked every 0.2 s for good. Change: it is asked once, then the parent, the table and others as usual. A line names who was asked and did not have it. The scenario of silent connections in http.feature waits for the ends of its connections.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -8,6 +8,11 @@
     Then each served and refused request names a version, its source, and an age of both it and the last reading
     And the requests after the change name a newer version than those before
 
+  Scenario: The peer that told of a version has restarted and holds none
+    Given an instance that was told of a version by a peer, and whose table has it
+    When that peer answers each fetch without a configuration
+    Then the instance holds the version within 1 s
+
   Scenario Outline: The coordinator's connections to the table go silent, and <count> instances learn of a version in time
     Given <count> instances in virtual time
     When the coordinator's connections to the table go silent right after a call began, and a key is withdrawn
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -4,14 +4,24 @@
 import logging
 from typing import Any, Final
 
-from behave import then, when
+from behave import given, then, when
 
+from fescuequay_core.relay.model import Configuration
+from fescuequay_core.types import InstanceId
 from fescuequay_emulator.load import Load
+from fescuequay_emulator.virtual_loop import VirtualLoop
 from fescuequay_emulator.world import World
+from fescuequay_entry.relay.board import Board, InstanceIdentity
+from fescuequay_entry.relay.followers import ConfigurationFollower
+from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
+from fescuequay_entry.relay.ports import Batch
 
 #: Time until the first feed call of each instance has ended, in seconds; then the coordinator reads for all.
 _RELAYING_S: Final = 6.0
 
+#: Time that a scenario in virtual time waits for a change, in seconds.
+_PATIENCE_S: Final = 60.0
+
 _PER_S: Final = 40.0
 _SESSIONS: Final = 10
 
@@ -68,6 +78,50 @@
     assert versions[0] < versions[-1] == max(versions), (versions[0], versions[-1])
 
 
+class EmptyPeers:
+    """Peers that answer each fetch, and hold no configuration."""
+
+    async def fetch(self, _address: str, _request: FetchRequest) -> FetchAnswer:
+        return FetchAnswer()
+
+
+class WholeFeed:
+    """A feed whose snapshot has a configuration."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._items = {'config': configuration}
+
+    async def snapshot(self) -> Batch[Any]:
+        return Batch(self._items, 1)
+
+
+@given('an instance that was told of a version by a peer, and whose table has it')
+def step_told(context: Any) -> None:
+    context.loop = VirtualLoop()
+    asyncio.set_event_loop(context.loop)
+    context.board = Board(InstanceIdentity(InstanceId('a'), 'a1', 'north', 'a:1'), context.loop.time)
+    feed: Any = WholeFeed(Configuration(7, 3.0, {}, {}, {}, {}))
+    peers: Any = EmptyPeers()
+    context.follower = ConfigurationFollower(context.board, feed, peers)
+
+
+@when('that peer answers each fetch without a configuration')
+def step_in_vain(context: Any) -> None:
+    async def run() -> None:
+        fetching = asyncio.ensure_future(context.follower.run_fetches())
+        context.follower.request_version(7, 'b:1')
+        await context.board.wait_for_change(_PATIENCE_S)
+        context.held_at = context.loop.time() if context.board.configuration else float('inf')
+        fetching.cancel()
+
+    context.loop.run_until_complete(run())
+
+
+@then('the instance holds the version within {limit:g} s')
+def step_held(context: Any, limit: float) -> None:
+    assert context.held_at <= limit, context.held_at
+
+
 def _coordinator(world: World) -> str:
     now = world.loop.time()
     return next(name for name, instance in world.instances.items() if instance.board.lease.holds(now))
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -258,6 +258,8 @@
                     await asyncio.sleep(_SILENCE_S / 5)
                     writer.write(_OK)
         except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
             writer.close()
 
     async def ask(client: HttpClient, address: str) -> str:
@@ -276,6 +278,8 @@
         results = [await ask(client, address) for _ in range(count)]
         client.close()
         server.close()
+        # Lets the ends of the connections arrive.
+        await asyncio.sleep(0.02)
         return results
 
     context.results = asyncio.run(run())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/followers.py
@@ -107,8 +107,10 @@
         """
         own = self._board.own
         members = tuple(self._board.members_by_id.values())
-        if self._preferred_peer:
-            return self._preferred_peer
+        preferred, self._preferred_peer = self._preferred_peer, ''
+        if preferred:
+            # Asked once: it may have restarted since it told of the version, or another process may have its address.
+            return preferred
         if tries < _PARENT_TRIES:
             parent = parent_of(own.instance, own.data_centre, members)
             return parent.address if parent is not None else ''
@@ -127,7 +129,8 @@
                 log_event('fetch_failed', source=source or 'table', wanted=self._wanted_version, detail=str(error))
                 # Skip the parent after one failure: changes must take effect within seconds.
                 tries = max(tries, _PARENT_TRIES - 1)
-                self._preferred_peer = '' if source else self._fallback_peer
+                if not source:
+                    self._preferred_peer = self._fallback_peer
             tries += 1
             if self._held_version() == earlier:
                 await asyncio.sleep(_FETCH_PAUSE_S * random.uniform(1, 2))  # noqa: S311 -- spreads calls
@@ -136,7 +139,9 @@
         """Ask a peer, or the table if no address is given. :raises TableError, HistoryLost, PeerError: No answer."""
         if address:
             answer = await self._peers.fetch(address, FetchRequest(self._held_version() + 1))
-            if answer.configuration is not None:
+            if answer.configuration is None:
+                log_event('fetch_empty', source=address, wanted=self._wanted_version)
+            else:
                 self._board.adopt(answer.configuration, f'peer {address}')
         else:
             began_at = self._board.clock()
