Decide at one place what can be read of others, so that an odd entry costs only itself

Callers saw: every instance ended, and ended again at each start, while the store held one registry entry that was nested very deep; other entries with ports out of range were used as targets. Cause: the decoder raises RecursionError for input that is nested too deep, which is none of its own errors, so it left the feed's reader and ended the process; addresses, names and numbers were taken as they came. Evidence: on a real process with such an entry exits with 1 (controller_failed, RecursionError); of 27 odd entries 2 raised, 15 were taken. The same decoder stood in the reader of the system's rows, of the store's answers, of answers of peers, of frames between instances, of seats, and of status pages in the command line. Change: one decoder with one error for all of them; names, addresses and numbers have the range that their use needs; each entry of a configuration is decoded alone, and what is nested too deep is left out of it.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -16,3 +16,27 @@
       | objects                 |
       | statements of callers   |
       | settings                |
+      | registry entries        |
+      | configurations          |
+      | evacuations             |
+      | rows of the system      |
+      | answers of the table    |
+      | eras of the table       |
+      | exchanges               |
+      | answers to exchanges    |
+      | frames between instances |
+      | lines of callers        |
+      | status rows             |
+      | log positions           |
+
+  Scenario: Each odd registry entry describes no target
+    When another writer leaves each of the odd registry entries
+    Then none of them describes a target, and a complete entry still does
+
+  Scenario: Odd rows of the system's own table are ignored
+    When another writer leaves each of the odd rows among those of the system
+    Then the other rows are read, and everything that was read can be sent on
+
+  Scenario: One odd entry of a configuration costs only itself
+    When the operators' row has odd routes, services and organisations, and a field that is nested too deep
+    Then all other routes, services and organisations are in force
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -70,6 +70,13 @@
     Then each gets its exact answer and the other sessions continue
     And the instance stops on SIGTERM within its grace period with exit code 0
 
+  Scenario: Odd entries of another writer cost only themselves, at the start and later
+    Given a real instance in whose store another writer has left odd entries
+    When callers write, read, and send malformed lines, an unknown database and an unknown key
+    Then each gets its exact answer and the other sessions continue
+    And the instance still runs, and has logged each odd entry once as it came
+    And the instance stops on SIGTERM within its grace period with exit code 0
+
   Scenario: A malformed message to any listener logs at most one bounded line and does not end the process
     Given a real instance with the platform's adapters and stand-ins for the platform and its database
     When every malformed message is sent to each of its listeners
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -18,6 +18,8 @@
 
 from aiohttp import web
 
+from features import odd_entries
+
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
 _HOST = '127.0.0.1'
 _TIMEOUT_S = 15.0
@@ -56,6 +58,7 @@
         self._version = 0
         self._items: dict[str, str] = {}
         self._commits = 0
+        self._late_entries: dict[str, bytes] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         entry = {
@@ -71,6 +74,16 @@
         self._put('op', 'config', json.dumps(_CONFIG).encode())
         self._put('servers', 'i-1', json.dumps(entry).encode())
 
+    def add_odd_entries(self) -> None:
+        """Let another writer leave odd entries, some of which come while the instance runs."""
+        self._put('op', 'config', odd_entries.with_odd_entries(_CONFIG))
+        for number, raw in enumerate(odd_entries.ENTRIES_BY_NAME.values()):
+            self._put('servers', f'odd-{number}', raw)
+            self._late_entries[f'late-{number}'] = raw
+        for number, raw in enumerate(odd_entries.OWN_ROWS_BY_NAME.values()):
+            for kind in ('leader', 'member'):
+                self._put('fescuequay', f'0/{kind}/odd-{number}', raw)
+
     def start(self) -> None:
         """Start the listeners in a thread of their own."""
         self._thread.start()
@@ -116,6 +129,13 @@
         return self._answer([self._row(*name) for name in sorted(self._rows) if name[0] == table])
 
     async def _feed(self, request: web.Request) -> web.Response:
+        table = request.query['table']
+        if table == 'servers' and self._late_entries:
+            self._version += 1
+            late, self._late_entries = self._late_entries, {}
+            for key, raw in late.items():
+                self._put(table, key, raw)
+            return self._answer([self._row(table, key) for key in late])
         await asyncio.sleep(int(request.query['wait_ms']) / 1000)
         return self._answer([])
 
@@ -172,6 +192,14 @@
         self._ports = {name: _free_port() for name in ('callers', 'readiness', 'peers')}
         self._process: subprocess.Popen[bytes] | None = None
 
+    def add_odd_entries(self) -> None:
+        """Let another writer leave odd entries in the store."""
+        self._standin.add_odd_entries()
+
+    def is_running(self) -> bool:
+        """:returns: Whether the instance still runs."""
+        return self._process is not None and self._process.poll() is None
+
     def start(self) -> None:
         """Start everything and wait until the instance is ready."""
         self._standin.start()
--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,110 @@
+"""Steps about entries and rows that another writer has left, and about addresses that can't be used."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+import msgspec
+from behave import then, when
+
+from features import odd_entries
+from fescuequay_core.relay.model import Configuration, MemberRecord, TargetDescription
+from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId
+from fescuequay_entry.relay.hop_tcp import TcpHops
+from fescuequay_entry.relay.hops import HopUnreachable
+from fescuequay_entry.relay.http_client import HttpClient, HttpError
+from fescuequay_entry.relay.ports import TableRow, TargetLost
+from fescuequay_entry.relay.settings import split_address
+from fescuequay_entry.relay.table_rows import LEADER_PREFIX, LEASE_KEY, MEMBER_PREFIX, Rows
+from fescuequay_platform import rows
+from fescuequay_platform.connections import LineDriver
+
+_MEMBER: Final = MemberRecord(InstanceId('i'), 'x', '127.0.0.1:1', 'north')
+
+_TARGET: Final = TargetDescription(
+    TargetId('t'), 1, ServiceId('s'), '127.0.0.1:1', 'north', is_draining=False, role=Role.REPLICA, slots=4
+)
+
+
+@when('another writer leaves each of the odd registry entries')
+def step_odd_entries(context: Any) -> None:
+    context.described = {name: rows.decode_target('i-9', raw) for name, raw in odd_entries.ENTRIES_BY_NAME.items()}
+
+
+@then('none of them describes a target, and a complete entry still does')
+def step_no_target(context: Any) -> None:
+    usable = [name for name, target in context.described.items() if target is not None]
+    assert not usable, usable
+    assert rows.decode_target('i-1', odd_entries.entry()) is not None
+
+
+@when('another writer leaves each of the odd rows among those of the system')
+def step_odd_rows(context: Any) -> None:
+    good = msgspec.json.encode(_MEMBER)
+    odd = [
+        TableRow(f'{prefix}{number}', raw, number + 1)
+        for number, raw in enumerate(odd_entries.OWN_ROWS_BY_NAME.values())
+        for prefix in (LEADER_PREFIX, MEMBER_PREFIX, LEASE_KEY)
+    ]
+    context.rows = Rows.decode([*odd, TableRow(f'{MEMBER_PREFIX}i', good, 99)])
+
+
+@then('the other rows are read, and everything that was read can be sent on')
+def step_other_rows(context: Any) -> None:
+    found = context.rows
+    assert 'i' in found.members_by_id, found
+    assert not found.leaders and found.lease is None, found
+    msgspec.json.encode(list(found.members_by_id.values()))
+
+
+@when("the operators' row has odd routes, services and organisations, and a field that is nested too deep")
+def step_odd_configuration(context: Any) -> None:
+    context.configuration = rows.decode_operator_row(
+        'config', odd_entries.with_odd_entries(odd_entries.configuration())
+    )
+
+
+@then('all other routes, services and organisations are in force')
+def step_others_in_force(context: Any) -> None:
+    found = context.configuration
+    assert isinstance(found, Configuration), found
+    assert list(found.routes_by_database) == ['db'], found
+    assert list(found.services_by_id) == ['svc'] and list(found.organisations_by_id) == ['org'], found
+
+
+async def _connect_target(address: str) -> None:
+    target = dataclasses.replace(_TARGET, address=address)
+    await LineDriver().connect(target, OrganisationId('o'))
+
+
+async def _connect_http(address: str) -> None:
+    await HttpClient().request('GET', address, '/')
+
+
+async def _connect_gateway(address: str) -> None:
+    host, port = split_address(address)
+    receiver: Any = None
+    await TcpHops('127.0.0.1', 1).connect(f'{host}:{port + 1}', receiver)
+
+
+_CONNECTS_BY_NAME: dict[str, tuple[Callable[[str], Coroutine[Any, Any, None]], type[Exception]]] = {
+    'the driver of targets': (_connect_target, TargetLost),
+    'the HTTP client': (_connect_http, HttpError),
+    'the streams to gateways': (_connect_gateway, HopUnreachable),
+}
+
+
+@when('a connection to {address} is opened by {opener}')
+def step_connect(context: Any, address: str, opener: str) -> None:
+    connect, context.expected = _CONNECTS_BY_NAME[opener]
+    context.error = None
+    try:
+        asyncio.run(connect(address))
+    except Exception as error:  # noqa: BLE001 -- the next step checks its type
+        context.error = error
+
+
+@then('it fails as one to an unreachable end')
+def step_unreachable(context: Any) -> None:
+    assert isinstance(context.error, context.expected), repr(context.error)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,7 +15,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features import relay_processes
+from features import odd_entries, relay_processes
 from fescuequay_entry import logs
 from fescuequay_platform import rows, statements
 from fescuequay_platform.codec import LineDecoder, Message, WireError
@@ -202,6 +202,24 @@
     context.world.start()
 
 
+@given('a real instance in whose store another writer has left odd entries')
+def step_odd_store(context: Any) -> None:
+    context.world = relay_processes.Deployment()
+    context.world.add_odd_entries()
+    context.world.start()
+
+
+@then('the instance still runs, and has logged each odd entry once as it came')
+def step_odd_logged(context: Any) -> None:
+    assert context.world.is_running()
+    lines = [line for line in context.world.output() if 'event=bad_registry_entry' in line]
+    keys = [line.partition('key=')[2].split()[0] for line in lines]
+    count = len(odd_entries.ENTRIES_BY_NAME)
+    expected = [f'{kind}-{number}' for kind in ('odd', 'late') for number in range(count)]
+    assert sorted(keys) == sorted(expected), (keys, expected)
+    assert max(map(len, context.world.output())) <= 500, max(context.world.output(), key=len)
+
+
 @when('callers write, read, and send malformed lines, an unknown database and an unknown key')
 def step_callers(context: Any) -> None:
     context.answers = context.world.query()
--- /dev/null
+++ b/packages/fescuequay-core/fescuequay_core/decoding.py
@@ -0,0 +1,71 @@
+"""Decoding of JSON that others have written: whatever the bytes are, the outcome is a value or one kind of error."""
+
+import re
+from typing import Annotated, Final, Generic, TypeVar
+
+import msgspec
+
+Shape = TypeVar('Shape')
+
+#: Largest whole number that the encoder of messages accepts, 64 bits with a sign.
+MAX_INTEGER: Final = 9_223_372_036_854_775_807
+
+#: Whole numbers that can be sent on.
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Natural = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+#: Maximum length of a decoder's complaint, in characters.
+_DETAIL_CHARACTERS: Final = 120
+
+#: A string, which may lack its end, or a bracket outside strings.
+_TOKEN: Final = re.compile(rb'"(?:[^"\\]|\\.)*\\?(?:"|\Z)|[\[\]{}]', re.DOTALL)
+
+
+class UnreadableError(ValueError):
+    """Bytes that are no JSON of the expected shape."""
+
+
+class TooDeepError(UnreadableError):
+    """JSON that is nested too deep to be decoded."""
+
+
+class JsonDecoder(Generic[Shape]):
+    """Decodes JSON of one shape.
+
+    :param kind: Type of the value.
+    """
+
+    def __init__(self, kind: object) -> None:
+        self._decoder: msgspec.json.Decoder[Shape] = msgspec.json.Decoder(kind)
+
+    def decode(self, raw: bytes | msgspec.Raw) -> Shape:
+        """:returns: The value. :raises UnreadableError: The bytes are malformed, of another shape or too deep."""
+        try:
+            return self._decoder.decode(raw)
+        except RecursionError:
+            raise TooDeepError('nested too deep') from None
+        except msgspec.MsgspecError as error:
+            raise UnreadableError(str(error)[:_DETAIL_CHARACTERS]) from None
+
+
+def prune(raw: bytes, levels: int) -> bytes:
+    """Replace what is nested too deep by ``null``, so that the rest of a document can be decoded.
+
+    :param raw: JSON; of other bytes some may be missing from the result.
+    :param levels: Number of nested arrays and objects that are kept.
+    :returns: JSON with at most that many.
+    """
+    kept: list[bytes] = []
+    depth = kept_until = 0
+    for token in _TOKEN.finditer(raw):
+        if token[0] in b'[{':
+            if depth == levels:
+                kept.append(raw[kept_until : token.start()] + b'null')
+            depth += 1
+        elif token[0] in b']}':
+            depth -= 1
+            if depth == levels:
+                kept_until = token.end()
+    if depth <= levels:
+        kept.append(raw[kept_until:])
+    return b''.join(kept)
--- a/packages/fescuequay-core/fescuequay_core/relay/eras.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/eras.py
@@ -11,6 +11,9 @@
 #: More transactions than a table carries out in one era: 400 a second for 79 years.
 _VERSIONS_PER_ERA: Final = 1_000_000_000_000
 
+#: Largest version of one era.
+MAX_VERSION: Final = _VERSIONS_PER_ERA - 1
+
 #: More changes of coordinator than happen in one era: one a second for 11 days.
 _TOKENS_PER_ERA: Final = 1_000_000
 
--- a/packages/fescuequay-ctl/fescuequay_ctl/operations.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/operations.py
@@ -166,7 +166,7 @@
         try:
             async with self._http.get(f'http://{member.peer_address}{path}', timeout=timeout) as answer:
                 return msgspec.json.decode(await answer.read())
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, msgspec.DecodeError):
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, msgspec.DecodeError, RecursionError):
             return None
 
     async def _read(self) -> tuple[FleetRecord, str | None]:
--- a/packages/fescuequay-entry/fescuequay_entry/platform_actions.py
+++ b/packages/fescuequay-entry/fescuequay_entry/platform_actions.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import logging
 import time
 import zlib
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 import msgspec
 
 from fescuequay_core import commands, events
+from fescuequay_core.decoding import JsonDecoder, UnreadableError
 from fescuequay_core.exceptions import MessageError
 from fescuequay_core.fleet import decode_record
 from fescuequay_core.fleet_controller import encode_record
@@ -25,6 +27,8 @@
 _STORE_TIMEOUT_S: Final = 1.0
 SEATS_PREFIX: Final = 'seats/'
 
+_log = logging.getLogger('fescuequay')
+
 
 class SeatRow(msgspec.Struct, frozen=True):
     """Body of a seat's row.
@@ -39,6 +43,9 @@
     floor_free_in_s: float = 0.0
 
 
+_SEATS: Final = JsonDecoder[SeatRow](SeatRow)
+
+
 class PlatformActions:
     """Reads and writes the table, the object store and the instance list.
 
@@ -133,8 +140,9 @@
 
 def _decode_seat(row: TableRow) -> events.Seat | None:
     try:
-        body = msgspec.json.decode(row.body or b'', type=SeatRow)
-    except msgspec.DecodeError:
+        body = _SEATS.decode(row.body or b'')
+    except UnreadableError as error:
+        _log.warning('bad_seat', extra={'pairs': {'key': row.key, 'detail': str(error)}})
         return None
     seat = SeatId(row.key.removeprefix(SEATS_PREFIX))
     return events.Seat(seat, InstanceId(body.holder), row.etag, row.age_s, body.is_released, body.floor_free_in_s)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fescuequay_core.decoding import JsonDecoder, Natural, UnreadableError
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.model import LogPosition, SessionState, Statement, StatementKind
 from fescuequay_core.relay.refusals import Reason, Refused
@@ -29,7 +30,7 @@
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0)]
 
-_Position = tuple[int, int]
+_Position = tuple[Natural, Natural]
 
 
 class FrameError(Exception):
@@ -86,19 +87,19 @@
     :param after: Log position that the target must have reached.
     """
 
-    number: int
+    number: Natural
     step: Step
-    lease: int
+    lease: Natural
     target: str
-    born_ms: int
+    born_ms: Natural
     organisation: str
-    priority: int
+    priority: Natural
     age_s: float
     aim_s: float
     wait_s: _Seconds
     limit_s: _Seconds
     is_continued: bool
-    record_version: int
+    record_version: Natural
     values: dict[str, str]
     request: str
     kind: StatementKind
@@ -118,7 +119,7 @@
     :param number: Number of the request.
     """
 
-    number: int
+    number: Natural
 
 
 class Drop(msgspec.Struct, frozen=True, array_like=True, tag='d'):
@@ -127,7 +128,7 @@
     :param lease: Number of the transaction.
     """
 
-    lease: int
+    lease: Natural
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag='p'):
@@ -158,7 +159,7 @@
     :param available: Number of connections that are free or may be opened.
     """
 
-    number: int
+    number: Natural
     fate: Fate
     state: SessionState = SessionState.IDLE
     position: _Position | None = None
@@ -167,8 +168,8 @@
     reason: str = ''
     detail: str = ''
     retry_after_s: float | None = None
-    waiting: int = 0
-    available: int = 0
+    waiting: Natural = 0
+    available: Natural = 0
 
     def refusal(self) -> Refused:
         """:returns: The refusal; one with an unknown code may have run, unless the statement was not sent."""
@@ -180,7 +181,7 @@
 Frame = Ask | Cancel | Drop | Ping | Pong | Leaving | Answer
 
 _ENCODER: Final = msgspec.json.Encoder()
-_DECODER: Final = msgspec.json.Decoder(Frame)
+_DECODER: Final = JsonDecoder[Frame](Frame)
 
 
 def encode(frame: Frame) -> bytes:
@@ -226,6 +227,6 @@
             self._buffer = self._buffer[end:]
             try:
                 frame = _DECODER.decode(body)
-            except msgspec.MsgspecError as error:
+            except UnreadableError as error:
                 raise FrameError(f'unreadable frame: {error}') from error
             yield frame
--- a/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
@@ -4,10 +4,11 @@
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 
+from fescuequay_core.decoding import JsonDecoder, UnreadableError
 from fescuequay_entry.relay.board import log_event
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
 from fescuequay_entry.relay.http_server import Answer, Handler, Request
@@ -26,15 +27,27 @@
 
 Message = TypeVar('Message')
 
-#: Maximum length of a decoding error in a log line.
-_DETAIL_CHARACTERS: Final = 120
-
 _EXCHANGE: Final = '/peer/exchange'
 _SUPPLY: Final = '/peer/supply'
 _FETCH: Final = '/peer/fetch'
 _CLOSE: Final = '/peer/close'
 _NEWS: Final = '/peer/news'
 
+_DECODERS_BY_KIND: Final[dict[type, JsonDecoder[Any]]] = {
+    kind: JsonDecoder(kind)
+    for kind in (
+        CloseAnswer,
+        CloseRequest,
+        ExchangeAnswer,
+        ExchangeRequest,
+        FetchAnswer,
+        FetchRequest,
+        News,
+        SupplyAnswer,
+        SupplyRequest,
+    )
+}
+
 _BAD_REQUEST: Final = Answer(HTTPStatus.BAD_REQUEST, b'"unreadable message"')
 
 
@@ -73,12 +86,13 @@
                 response = await self._http.request('POST', address, path, body=msgspec.json.encode(body))
             if response.status != HTTPStatus.OK:
                 raise PeerError(f'{address} answered {response.status}')
-            return msgspec.json.decode(response.body, type=kind)
+            answer: Message = _DECODERS_BY_KIND[kind].decode(response.body)
+            return answer
         except HttpError as error:
             raise PeerError(f'{address}: {error}', is_unsent=error.is_unsent) from error
         except TimeoutError as error:
             raise PeerError(f'{address}: no answer in {timeout_s:.2f} s') from error
-        except msgspec.MsgspecError as error:
+        except UnreadableError as error:
             raise PeerError(f'{address}: unreadable answer: {error}') from error
 
 
@@ -143,14 +157,15 @@
 def _decode(request: Request, kind: type[Message]) -> Message | None:
     """:returns: The message; nothing, after one log line, if it is malformed."""
     try:
-        return msgspec.json.decode(request.body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        message: Message = _DECODERS_BY_KIND[kind].decode(request.body)
+        return message
+    except UnreadableError as error:
         log_event(
             'bad_peer_message',
             level=logging.WARNING,
             sender=request.sender,
             path=request.path,
-            detail=str(error)[:_DETAIL_CHARACTERS],
+            detail=str(error),
         )
         return None
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/table_rows.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/table_rows.py
@@ -3,10 +3,11 @@
 import dataclasses
 import itertools
 from collections.abc import Iterable, Mapping
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 
+from fescuequay_core.decoding import JsonDecoder, UnreadableError
 from fescuequay_core.relay import settlement
 from fescuequay_core.relay.model import LeaderRecord, LeaseRecord, LeaseRow, MemberRecord
 from fescuequay_core.types import InstanceId, Instant, LeaderState
@@ -17,6 +18,10 @@
 
 Versioned = TypeVar('Versioned', LeaseRow, LeaderRecord)
 
+_DECODERS_BY_KIND: Final[dict[type, JsonDecoder[Any]]] = {
+    kind: JsonDecoder(kind) for kind in (LeaseRow, LeaderRecord, MemberRecord)
+}
+
 LEASE_KEY: Final = 'duty'
 LEADER_PREFIX: Final = 'leader/'
 MEMBER_PREFIX: Final = 'member/'
@@ -102,8 +107,8 @@
 
 def _decode(row: TableRow, kind: type[Record]) -> Record | None:
     try:
-        record = msgspec.json.decode(row.content, type=kind)
-    except msgspec.MsgspecError as error:
+        record: Record = _DECODERS_BY_KIND[kind].decode(row.content)
+    except UnreadableError as error:
         log_event('bad_row', key=row.key, version=row.version, detail=str(error))
         return None
     return record if isinstance(record, MemberRecord) else with_version(record, row.version)
