Treat an address that can't be connected to as unreachable, whatever makes it so

Callers saw: a statement whose session ended without an answer, if its target had a port out of range or none. Cause: connecting raises ValueError or OverflowError for such an address, which are no OSError, on the path of a statement; the same stood in the HTTP client and in the streams to gateways, on the paths of exchanges and statements. Change: these errors count as those of an end that can't be reached.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -40,3 +40,15 @@
   Scenario: One odd entry of a configuration costs only itself
     When the operators' row has odd routes, services and organisations, and a field that is nested too deep
     Then all other routes, services and organisations are in force
+
+  Scenario Outline: A connection to <address> is refused as unreachable, <by>
+    When a connection to <address> is opened by <by>
+    Then it fails as one to an unreachable end
+
+    Examples:
+      | address | by |
+      | 127.0.0.1:99999 | the driver of targets |
+      | 127.0.0.1:x | the driver of targets |
+      | 127.0.0.1 | the HTTP client |
+      | 127.0.0.1:99999 | the HTTP client |
+      | 127.0.0.1:65535 | the streams to gateways |
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
@@ -302,10 +302,10 @@
 
     async def _open_stream(self) -> bool:
         stream = HopStream(self._board.clock, self._record_failure, self._record_leaving)
-        host, port = split_address(self.member.address)
         try:
+            host, port = split_address(self.member.address)
             link = await asyncio.wait_for(self._hops.connect(f'{host}:{port + 1}', stream), _CONNECT_TIMEOUT_S)
-        except (HopUnreachable, TimeoutError) as error:
+        except (HopUnreachable, TimeoutError, ValueError) as error:
             self._record_failure(str(error) or 'no stream could be opened in time')
             return False
         finally:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
@@ -115,7 +115,7 @@
             _, link = await asyncio.get_running_loop().create_connection(
                 lambda: _StreamProtocol(lambda _link: receiver, is_answering=False), host, int(port)
             )
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise HopUnreachable(str(error)) from error
         return link
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -242,7 +242,7 @@
     host, _, port = address.rpartition(':')
     try:
         _, connection = await asyncio.get_running_loop().create_connection(_Connection, host, int(port))
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
         raise HttpError(f'{type(error).__name__} {error}', is_unsent=True) from error
     return connection
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -91,6 +91,6 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """:returns: Host and port."""
+    """:returns: Host and port. :raises ValueError: The port is no number."""
     host, _, port = address.rpartition(':')
     return host, int(port)
