Bound the numbers of messages, records and log positions

Cause: looked for beside the odd entries: terms, tokens, versions and log positions of any size were taken from targets, peers and rows, and negative ones too; a status of NaN or infinite lag was taken.

--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -2,14 +2,21 @@
 
 import dataclasses
 import enum
-from typing import NewType
+from typing import Annotated, NewType
 
+import msgspec
+
+from fescuequay_core.decoding import MAX_INTEGER, Integer, Natural
 from fescuequay_core.types import InstanceId, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 
 DatabaseName = NewType('DatabaseName', str)
 Credential = NewType('Credential', str)
 
 
+#: Term that can be sent on.
+_Term = Annotated[Term, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class Consistency(enum.Enum):
     """Which commits a read on a route must see."""
 
@@ -48,8 +55,8 @@
     :param number: Number of the commit.
     """
 
-    term: Term
-    number: int
+    term: _Term
+    number: Natural
 
     def __str__(self) -> str:
         return f'{self.term}.{self.number}'
@@ -97,7 +104,7 @@
     staleness_s: float
     timeout_s: float
     aim_s: float
-    priority: int
+    priority: Natural
     is_open: bool
 
 
@@ -125,8 +132,8 @@
     """
 
     service: ServiceId
-    max_connections: int
-    acknowledging_replicas: int
+    max_connections: Natural
+    acknowledging_replicas: Natural
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +148,7 @@
     :param organisation_ids_by_credential: Organisation of each key.
     """
 
-    version: int
+    version: Natural
     idle_transaction_s: float
     routes_by_database: dict[str, Route]
     services_by_id: dict[str, ServicePolicy]
@@ -175,13 +182,13 @@
     """
 
     target: TargetId
-    born_ms: int
+    born_ms: Natural
     service: ServiceId
     address: str
     data_centre: str
     is_draining: bool
     role: Role
-    slots: int = dataclasses.field(default=0, repr=False)
+    slots: Natural = dataclasses.field(default=0, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,12 +225,12 @@
     """
 
     service: ServiceId
-    term: Term
+    term: _Term
     target: TargetId
     state: LeaderState
     cause: str
     promoted: TargetId | None = None
-    version: int = 0
+    version: Natural = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,7 +253,7 @@
     data_centre: str
     is_leaving: bool = False
     capacity: float = 0.0
-    reads: int = 1
+    reads: Natural = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,9 +271,9 @@
     instance: InstanceId
     incarnation: str
     address: str
-    token: int
+    token: Natural
     nonce: str
-    version: int = 0
+    version: Natural = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,7 +287,7 @@
     """
 
     began_by_s: float | None = None
-    known_version: int = -1
+    known_version: Integer = -1
     known_by_s: float = 0.0
     settled_by_s: float | None = None
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -1,10 +1,11 @@
 """Messages between instances, encoded as JSON."""
 
 import dataclasses
-from typing import Annotated, Final
+from typing import Final
 
 import msgspec
 
+from fescuequay_core.decoding import Integer, Natural
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.model import Configuration, LeaderRecord, LeaseRecord, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, ServiceId, TargetId
@@ -14,7 +15,7 @@
 MANY_RECORDS: Final = 32
 
 #: Number of tokens. A negative one would allow larger stocks of tokens than the limit.
-TokenCount = Annotated[int, msgspec.Meta(ge=0)]
+TokenCount = Natural
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +33,7 @@
 
     instance: InstanceId
     incarnation: str
-    number: int
+    number: Natural
     wanted: dict[str, TokenCount]
     waiting: dict[str, TokenCount] = dataclasses.field(default_factory=dict)
     held: dict[str, TokenCount] = dataclasses.field(default_factory=dict)
@@ -47,7 +48,7 @@
         seconds.
     """
 
-    tokens: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+    tokens: dict[str, tuple[TokenCount, float]] = dataclasses.field(default_factory=dict)
 
 
 class ExchangeRequest(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -65,7 +66,7 @@
     """
 
     member: MemberRecord
-    configuration_version: int
+    configuration_version: Integer
     targets: str
     observations: dict[str, tuple[TargetId, float | None, bool, bool, bool]]
     members: str
@@ -84,9 +85,9 @@
     :param age_s: Seconds since the primary was asked.
     """
 
-    term: int
-    position_term: int
-    number: int
+    term: Natural
+    position_term: Natural
+    number: Natural
     age_s: float
 
 
@@ -122,12 +123,12 @@
     members: Difference[MemberRecord] | None = None
     supply: SupplyAnswer | None = None
     samples: dict[str, PositionSample] = msgspec.field(default_factory=dict)
-    configuration_version: int = -1
+    configuration_version: Integer = -1
     targets: Difference[TargetDescription] | None = None
     evacuated: tuple[float, dict[str, float]] | None = None
     feed_age_s: float = 1e6
     path_age_s: float = 0.0
-    reads: int = 1
+    reads: Natural = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,10 +163,10 @@
     :param resigned: Token of a coordinator that has resigned.
     """
 
-    configuration_version: int = -1
+    configuration_version: Integer = -1
     sender: str = ''
     duty: LeaseRecord | None = None
-    resigned: int = 0
+    resigned: Natural = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,7 +176,7 @@
     :param version: Oldest version that the requester can use.
     """
 
-    version: int
+    version: Integer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
