Let the soak leave odd entries, silence open connections and check a configuration at the end

Cause: the soak knew neither another writer's entries nor connections that go silent while new ones work, and no check of a configuration; an instance that ended by itself was started again unseen.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,8 @@
       | ONE       | a promotion with an older token                   |
       | STALE     | a read that lacks an acknowledged write           |
       | LOST      | a stop by SIGTERM that leaves a request unanswered |
+      | ENDED     | an instance that ends by itself                   |
+      | CONFIG    | a session refused for a route that was there      |
 
   Scenario: Reads need not return writes that a promotion rolled back
     When an acknowledged write is rolled back by a promotion
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -6,12 +6,13 @@
 import signal
 import sys
 import time
-from typing import Final
+from typing import Any, Final
 
 import click
 
+from features import odd_entries
 from features.soak.callers import Caller
-from features.soak.databases import Service
+from features.soak.databases import HOST, Service
 from features.soak.history import History
 from features.soak.instances import Process, make_folder
 from features.soak.platform import Platform
@@ -24,20 +25,34 @@
 _FAULT_INTERVAL_S: Final = (0.6, 2.0)
 
 
-def _configuration(services: list[Service]) -> dict[str, object]:
+#: Time within which a route must be known everywhere, in seconds; the default of the settings.
+_APPLY_S: Final = 5.0
+
+#: Number of keys under which another writer leaves entries.
+_ODD_KEYS: Final = 8
+
+#: Interval between checks for processes that have ended, in seconds.
+_WATCH_INTERVAL_S: Final = 0.2
+
+
+def _configuration(services: list[Service], version: int = 1) -> dict[str, Any]:
+    """:returns: A configuration that has one route more, named after its version."""
     routes = [
         {
-            'name': f'r-{service.name}',
-            'host': service.name,
+            'name': f'r-{host}',
+            'host': host,
             'route_type': 'primary',
-            'service': service.name,
+            'service': service,
             'timeout_ms': 1000,
             'target_latency_ms': 400,
         }
-        for service in services
+        for host, service in (
+            *((service.name, service.name) for service in services),
+            (f'added-{version}', services[0].name),
+        )
     ]
     return {
-        'version': 1,
+        'version': version,
         'routes': routes,
         'services': [{'name': service.name, 'max_conns': 200, 'sync_replicas': 0} for service in services],
         'tenants': [{'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 5000, 'burst': 5000}],
@@ -58,6 +73,9 @@
         self.faults: list[str] = []
         self.folder = make_folder()
         self._rng = random.Random(seed)
+        # Apart, so that the seeds of the other faults keep their schedules.
+        self._odd_rng = random.Random(f'odd {seed}')
+        self._version = 1
         self._seconds = seconds
         self._services = [Service('one', self.history), Service('two', self.history)]
         self._platform = Platform(self._services)
@@ -72,11 +90,13 @@
             await process.prepare()
             await process.start()
         tasks = [asyncio.ensure_future(process.poll_readiness()) for process in self._processes]
+        tasks.append(asyncio.ensure_future(self._watch_processes()))
         try:
             tasks.extend(asyncio.ensure_future(caller.run()) for caller in self._callers())
             await asyncio.sleep(_FAULT_FREE_S)
-            await self._inject_faults()
-            await asyncio.sleep(_FAULT_FREE_S)
+            await asyncio.gather(self._inject_faults(), self._inject_odd_events())
+            await asyncio.sleep(_FAULT_FREE_S - _APPLY_S)
+            await self._check_configuration()
         finally:
             for task in tasks:
                 task.cancel()
@@ -124,6 +144,51 @@
             await asyncio.sleep(self._rng.uniform(*_FAULT_INTERVAL_S))
         await asyncio.gather(*running)
 
+    async def _inject_odd_events(self) -> None:
+        """Let another writer leave odd entries, change the configuration and silence connections, until the end."""
+        until = time.monotonic() + self._seconds
+        events = (self._leave_odd_entry, self._change_configuration, self._silence_connections)
+        while time.monotonic() < until:
+            event = self._odd_rng.choice(events)
+            self.faults.append(f'{time.monotonic() - until + self._seconds:.1f} {event.__name__.strip("_")}')
+            event()
+            await asyncio.sleep(self._odd_rng.uniform(*_FAULT_INTERVAL_S))
+
+    def _leave_odd_entry(self) -> None:
+        raw = self._odd_rng.choice(sorted(odd_entries.ENTRIES_BY_NAME.values()))
+        self._platform.put_raw('servers', f'odd-{self._odd_rng.randrange(_ODD_KEYS)}', raw)
+
+    def _change_configuration(self) -> None:
+        self._version += 1
+        configuration = _configuration(self._services, self._version)
+        self._platform.put_raw('op', 'config', odd_entries.with_odd_entries(configuration))
+
+    def _silence_connections(self) -> None:
+        self._odd_rng.choice(self._processes).proxy.silence_open()
+        self._record_fault()
+
+    async def _check_configuration(self) -> None:
+        """Check that a route which is added now is known everywhere in time."""
+        self._change_configuration()
+        await asyncio.sleep(_APPLY_S)
+        for process in self._processes:
+            reader, writer = await asyncio.open_connection(HOST, process.callers_port)
+            writer.write(f'START added-{self._version} secret\r\n'.encode())
+            answer = (await reader.readline()).decode().rstrip()
+            writer.transport.abort()
+            if not answer.startswith('READY'):
+                self.history.record_late_route(process.name, answer)
+
+    async def _watch_processes(self) -> None:
+        """Report and start again what ends by itself, until cancelled."""
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            for process in self._processes:
+                code = process.exit_code()
+                if code is not None:
+                    self.history.record_end(process.name, code)
+                    await process.start()
+
     def _record_fault(self) -> None:
         for process in self._processes:
             process.last_fault_at = time.monotonic()
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -107,6 +107,14 @@
         """Record a request left unanswered by an instance that was stopped by SIGTERM while nothing else failed."""
         self._report_violation('LOST', f'{instance} was stopped by SIGTERM with {request} unanswered')
 
+    def record_end(self, instance: str, code: int) -> None:
+        """Record an instance that has ended by itself."""
+        self._report_violation('ENDED', f'{instance} ended by itself with exit code {code}')
+
+    def record_late_route(self, instance: str, answer: str) -> None:
+        """Record an instance that does not know a route in time."""
+        self._report_violation('CONFIG', f'{instance} answered {answer!r} for a route that was there')
+
     def _record_served(self, now: float) -> None:
         self.served += 1
         self.last_served_at = now
--- a/features/soak/instances.py
+++ b/features/soak/instances.py
@@ -60,6 +60,12 @@
         """:returns: Whether no fault other than stops by SIGTERM can still have an effect."""
         return time.monotonic() - self.last_fault_at > FAULT_EFFECT_S
 
+    def exit_code(self) -> int | None:
+        """:returns: Exit code of a process that has ended by itself; nothing if it runs or was ended."""
+        if self._process is None or self.is_stopping:
+            return None
+        return self._process.returncode
+
     async def prepare(self) -> None:
         """Start the proxy of the instance and write its settings."""
         await self.proxy.start()
@@ -92,9 +98,10 @@
 
     async def kill(self) -> None:
         """Send SIGKILL and wait for the process to exit."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+        process, self._process = self._process, None
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
         self.is_ready = False
 
     async def stop(self) -> None:
--- a/features/soak/platform.py
+++ b/features/soak/platform.py
@@ -66,6 +66,16 @@
         self._version += 1
         self._store_row(table, key, base64.b64encode(json.dumps(plain).encode()).decode())
 
+    def put_raw(self, table: str, key: str, raw: bytes) -> None:
+        """Write any bytes as another writer does."""
+        self._version += 1
+        self._store_row(table, key, base64.b64encode(raw).decode())
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self._version += 1
+        self._store_row(table, key, '', is_deleted=True)
+
     def _store_row(self, table: str, key: str, value: str, *, is_deleted: bool = False) -> None:
         self._rows[table, key] = (value, self._version, is_deleted)
         self._changed.set()
@@ -154,6 +164,8 @@
 class Proxy:
     """Forwards connections between one instance and the platform; ``mode`` is pass, silent or reset.
 
+    Connections that were open when they were silenced carry nothing more, and new ones work.
+
     :param platform_port: Port of the platform.
     """
 
@@ -162,6 +174,7 @@
         self.port = 0
         self._platform_port = platform_port
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen."""
@@ -175,6 +188,10 @@
             for writer in tuple(self._writers):
                 writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Let the open connections go silent for good."""
+        self._silenced.update(self._writers)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode == 'reset':
             writer.transport.abort()
@@ -192,6 +209,7 @@
         finally:
             for end in (writer, platform_writer):
                 self._writers.discard(end)
+                self._silenced.discard(end)
                 end.transport.abort()
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -199,5 +217,6 @@
             while chunk := await reader.read(65536):
                 while self.mode == 'silent':
                     await asyncio.sleep(0.05)
-                writer.write(chunk)
-                await writer.drain()
+                if writer not in self._silenced:
+                    writer.write(chunk)
+                    await writer.drain()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -34,6 +34,10 @@
         history.record_read('q2', 'k', 0, 1, 3.0)
     elif 'unanswered' in what:
         history.record_unanswered('n1', 'q3')
+    elif 'ends by itself' in what:
+        history.record_end('n1', 1)
+    elif 'refused for a route' in what:
+        history.record_late_route('n1', 'ERROR NODB')
     context.soak_history = history
 
 
