Ignore an entry at which its decoder fails, whatever the failure

Cause: looked for beside the odd entries: any other error of a decoder still ended the reader of the feed, and with it the process.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -33,6 +33,11 @@
     When another writer leaves each of the odd registry entries
     Then none of them describes a target, and a complete entry still does
 
+  Scenario: An entry at which its decoder fails is ignored alone
+    Given a feed of 3 entries whose decoder fails at the second one
+    When the feed is read as a whole, and then its changes
+    Then both have the first and the third entry, and the second one as missing
+
   Scenario: Odd rows of the system's own table are ignored
     When another writer leaves each of the odd rows among those of the system
     Then the other rows are read, and everything that was read can be sent on
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 import msgspec
-from behave import then, when
+from behave import given, then, when
 
 from features import odd_entries
 from fescuequay_core.relay.model import Configuration, MemberRecord, TargetDescription
@@ -17,7 +17,7 @@
 from fescuequay_entry.relay.ports import TableRow, TargetLost
 from fescuequay_entry.relay.settings import split_address
 from fescuequay_entry.relay.table_rows import LEADER_PREFIX, LEASE_KEY, MEMBER_PREFIX, Rows
-from fescuequay_platform import rows
+from fescuequay_platform import rows, store
 from fescuequay_platform.connections import LineDriver
 
 _MEMBER: Final = MemberRecord(InstanceId('i'), 'x', '127.0.0.1:1', 'north')
@@ -39,6 +39,39 @@
     assert rows.decode_target('i-1', odd_entries.entry()) is not None
 
 
+class FixedStore:
+    """Answers each call of the store with the same three rows."""
+
+    async def get(self, _path: str, _query: Any, **_limits: Any) -> Any:
+        raw = msgspec.json.encode({'rows': [{'key': key, 'value': '', 'ver': 1} for key in 'abc'], 'ver': 1})
+        return store._decode_answer(raw, '0')
+
+
+def _fail_at_second(key: str, _content: bytes) -> str:
+    if key == 'b':
+        raise ZeroDivisionError
+    return key
+
+
+@given('a feed of 3 entries whose decoder fails at the second one')
+def step_failing_decoder(context: Any) -> None:
+    client: Any = FixedStore()
+    context.feed = store.StoreFeed(client, 'servers', _fail_at_second)
+
+
+@when('the feed is read as a whole, and then its changes')
+def step_read_feed(context: Any) -> None:
+    async def read() -> list[dict[str, Any]]:
+        return [dict((await context.feed.snapshot()).items), dict((await context.feed.changes(1, 0)).items)]
+
+    context.batches = asyncio.run(read())
+
+
+@then('both have the first and the third entry, and the second one as missing')
+def step_others_kept(context: Any) -> None:
+    assert context.batches == [{'a': 'a', 'b': None, 'c': 'c'}] * 2, context.batches
+
+
 @when('another writer leaves each of the odd rows among those of the system')
 def step_odd_rows(context: Any) -> None:
     good = msgspec.json.encode(_MEMBER)
