--- a/features/odd_entries.py
+++ b/features/odd_entries.py
@@ -6,7 +6,7 @@
 _DEEP: Final = 100_000
 _DEEP_OBJECTS: Final = 5_000
 
-#: More than any encoder of whole numbers accepts.
+#: Beyond 64 bits.
 _HUGE: Final = 2**70
 
 _ENTRY: Final[dict[str, Any]] = {
--- a/packages/fescuequay-core/fescuequay_core/decoding.py
+++ b/packages/fescuequay-core/fescuequay_core/decoding.py
@@ -7,10 +7,10 @@
 
 Shape = TypeVar('Shape')
 
-#: Largest whole number that the encoder of messages accepts, 64 bits with a sign.
+#: Largest whole number of messages, records and rows: 64 bits with a sign.
 MAX_INTEGER: Final = 9_223_372_036_854_775_807
 
-#: Whole numbers that can be sent on.
+#: Whole numbers of messages, records and rows.
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Natural = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -13,7 +13,7 @@
 Credential = NewType('Credential', str)
 
 
-#: Term that can be sent on.
+#: Term of messages and records.
 _Term = Annotated[Term, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/board.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/board.py
@@ -205,7 +205,7 @@
             self.record_operators_reading(self.clock())
 
     def record_operators_reading(self, at: Instant) -> None:
-        """Record that the operators' row was certainly read at a time, and that a newer version is being fetched."""
+        """Record when the operators' row was certainly read; what it had that is newer may still be on its way here."""
         self._operators_read_at = max(self._operators_read_at, at)
 
     def update_record(
