Reserve the ports of test processes, and report a process that does not listen at the end of a soak

The harness asked the kernel for a free port, released it, and the proxy, which takes any free port, got it before n1 had started. A database that crashes and comes back on its port could lose it in the same way. Ruled out: the product. Change: ports come from outside the range from which the kernel gives ports, and a UDP socket marks each as taken for as long as the test process runs. The check records a process that refuses the connection as a violation, so that the report with its faults and what ended is printed.

--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -19,6 +19,7 @@
 from aiohttp import web
 
 from features import odd_entries
+from features.ports import reserve_port
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
 _HOST = '127.0.0.1'
@@ -42,18 +43,12 @@
 }
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 class PlatformStandIn:
     """Stands in for one database and for the calls of the metadata store that one instance makes."""
 
     def __init__(self) -> None:
-        self.store_port = _free_port()
-        self.database_port = _free_port()
+        self.store_port = reserve_port()
+        self.database_port = reserve_port()
         self._rows: dict[tuple[str, str], tuple[str, int]] = {}
         self._version = 0
         self._items: dict[str, str] = {}
@@ -189,7 +184,7 @@
     def __init__(self) -> None:
         self._standin = PlatformStandIn()
         self._folder = tempfile.TemporaryDirectory()
-        self._ports = {name: _free_port() for name in ('callers', 'readiness', 'peers')}
+        self._ports = {name: reserve_port() for name in ('callers', 'readiness', 'peers')}
         self._process: subprocess.Popen[bytes] | None = None
 
     def add_odd_entries(self) -> None:
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -11,7 +11,7 @@
 import click
 
 from features import odd_entries
-from features.soak.callers import Caller
+from features.soak.callers import ANSWER_TIMEOUT_S, Caller
 from features.soak.databases import HOST, Service
 from features.soak.history import History
 from features.soak.instances import Process, make_folder
@@ -172,13 +172,22 @@
         self._change_configuration()
         await asyncio.sleep(_APPLY_S)
         for process in self._processes:
-            reader, writer = await asyncio.open_connection(HOST, process.callers_port)
-            writer.write(f'START added-{self._version} secret\r\n'.encode())
-            answer = (await reader.readline()).decode().rstrip()
-            writer.transport.abort()
+            answer = await self._open_session(process, f'added-{self._version}')
             if not answer.startswith('READY'):
                 self.history.record_late_route(process.name, answer)
 
+    async def _open_session(self, process: Process, database: str) -> str:
+        """:returns: The instance's answer, or why there was none."""
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(HOST, process.callers_port)
+                writer.write(f'START {database} secret\r\n'.encode())
+                answer = (await reader.readline()).decode().rstrip()
+        except OSError as error:
+            return repr(error)
+        writer.transport.abort()
+        return answer
+
     async def _watch_processes(self) -> None:
         """Report and start again what ends by itself, until cancelled."""
         while True:
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -11,7 +11,7 @@
 from features.soak.instances import Process
 
 #: Longest wait for an answer, in seconds; the timeout of the routes is 1 s.
-_ANSWER_TIMEOUT_S: Final = 3.0
+ANSWER_TIMEOUT_S: Final = 3.0
 
 #: Mean pause between two statements of a session, in seconds.
 _MEAN_INTERVAL_S: Final = 0.05
@@ -109,7 +109,7 @@
         await self._notice_end()
         self._writer.write(f'{line}\r\n'.encode())
         answers: list[str] = []
-        async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
             while not answers or not answers[-1].startswith('READY'):
                 answers.append(await self._read_line(request))
                 if answers[-1].startswith('ERROR') and request == '-':
--- a/features/soak/databases.py
+++ b/features/soak/databases.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from features.ports import reserve_port
 from features.soak.history import Commit, History
 
 HOST: Final = '127.0.0.1'
@@ -33,7 +34,7 @@
     def __init__(self, name: str, service: 'Service') -> None:
         self.name = name
         self.service = service
-        self.port = 0
+        self.port = reserve_port()
         self.is_primary = False
         self.term = 1
         self.log: list[Commit] = []
@@ -45,7 +46,6 @@
     async def start(self) -> None:
         """Listen, on the same port as before after a restart."""
         self._server = await asyncio.start_server(self._serve, HOST, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     @property
     def is_up(self) -> bool:
--- a/features/soak/instances.py
+++ b/features/soak/instances.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -13,6 +12,7 @@
 
 import aiohttp
 
+from features.ports import reserve_port
 from features.soak.databases import HOST
 from features.soak.platform import Platform, Proxy
 
@@ -26,12 +26,6 @@
 FAULT_EFFECT_S: Final = 4.0
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 class Process:
     """One instance.
 
@@ -42,7 +36,7 @@
 
     def __init__(self, name: str, platform: Platform, folder: pathlib.Path) -> None:
         self.name = name
-        self.callers_port = _free_port()
+        self.callers_port = reserve_port()
         self.is_ready = False
         self.is_stopping = False
         self.last_fault_at = float('-inf')
@@ -51,8 +45,8 @@
         self.proxy = Proxy(platform.port)
         self._platform = platform
         self._folder = folder
-        self._readiness_port = _free_port()
-        self._peer_port = _free_port()
+        self._readiness_port = reserve_port()
+        self._peer_port = reserve_port()
         self._process: asyncio.subprocess.Process | None = None
 
     @property
