Carry texts that are no UTF-8 between instances and gateways as their bytes

Cause: the line protocol decodes such bytes to lone surrogates, which JSON can't carry, so the encoder of frames raised UnicodeEncodeError: at the instance through the caller's session, at the gateway through the task that answers. Change: a frame with such a text is sent with a flag beside its version and with one character for each byte in all of its texts. A build without the flag closes the stream as of another version, and the statement is judged as one whose gateway was lost. Evidence: the two scenarios of "Bytes that are no UTF-8" raise UnicodeEncodeError on the code before and pass now, over a stream on loopback; two more malformed frames end their stream as the others do.

--- a/features/gateway_builders.py
+++ b/features/gateway_builders.py
@@ -8,11 +8,14 @@
 from fescuequay_core.relay.model import MemberRecord, StatementKind, TargetDescription
 from fescuequay_core.types import InstanceId, Role, ServiceId, TargetId
 from fescuequay_entry.relay import hop_frames
-from fescuequay_entry.relay.hop_frames import Ask, Ping, Step
+from fescuequay_entry.relay.hop_frames import Answer, Ask, Fate, Frame, Ping, Step
 
 #: Begin of a header: the version of the format, and four bytes of length.
 _LENGTH_BYTES: Final = 4
 
+#: First byte of a frame whose texts have one character for each byte.
+_BYTES_VERSION: Final = 0x81
+
 
 def member(name: str, data_centre: str, capacity: float, *, is_leaving: bool = False) -> MemberRecord:
     """:returns: An instance."""
@@ -64,6 +67,16 @@
     )
 
 
+def frame_without_utf_8(what: str) -> Frame:
+    """:returns: A frame with texts of callers or targets that are no UTF-8, as the line protocol decodes them."""
+    text = b'\xff\x80 \xc3\xa9'.decode('utf-8', 'surrogateescape')
+    if what == 'a statement':
+        return msgspec.structs.replace(
+            ask(), request=text, text=f'READ {text}', values={text: text}, shape=(text, True)
+        )
+    return Answer(1, Fate.ANSWERED, position=(3, 7), signature=text, rows=[text, 'plain'])
+
+
 def frame_of(body: bytes, version: int = hop_frames.FORMAT_VERSION, length: int | None = None) -> bytes:
     """:returns: The bytes of a frame."""
     size = len(body) if length is None else length
@@ -79,5 +92,9 @@
         'a body that is no JSON': frame_of(b'["p"'),
         'a body of an unknown kind': frame_of(b'["unknown",1]'),
         'a request without its fields': frame_of(b'["q",1,"s"]'),
+        'a text of bytes with a character': frame_of(
+            msgspec.json.encode(msgspec.structs.replace(ask(), text='\u0100')), version=_BYTES_VERSION
+        ),
+        'a body of bytes nested 600 deep': frame_of(b'[' * 600 + b']' * 600, version=_BYTES_VERSION),
         'a request with a negative time limit': frame_of(msgspec.json.encode(ask(limit_s=-1.0))),
     }[what]
--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -37,11 +37,22 @@
       | a body of an unknown kind            |
       | a request without its fields         |
       | a request with a negative time limit |
+      | a text of bytes with a character     |
+      | a body of bytes nested 600 deep      |
 
   Scenario: Frames in pieces and with fields of a later build
     When a stream brings two frames byte by byte, the second one with a field more
     Then both are read
 
+  Scenario Outline: Bytes that are no UTF-8 reach the other instance as they are
+    When <what> with such bytes is sent from one instance to another
+    Then the other instance receives the same
+
+    Examples:
+      | what        |
+      | a statement |
+      | an answer   |
+
   Scenario: Statements go to the gateways
     Given 8 instances with 12 connections for each target, all of which can be gateways
     When they carry a load of 80 operations a second for 10 s
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -13,8 +13,16 @@
 from fescuequay_emulator.callers import Session, StatementOutcome
 from fescuequay_emulator.load import Load, read
 from fescuequay_emulator.world import Plan, World
-from fescuequay_entry.relay.hop_frames import Ask, FrameDecoder, FrameError, Ping, encode
+from fescuequay_entry.relay.hop_frames import Ask, Frame, FrameDecoder, FrameError, Ping, encode
+from fescuequay_entry.relay.hop_tcp import TcpHops
+from fescuequay_entry.relay.hops import HopReceiver
 from features import gateway_builders as builders
+from features.ports import reserve_port
+
+_HOST: Final = '127.0.0.1'
+
+#: Time within which a frame arrives over loopback, in seconds.
+_ARRIVAL_S: Final = 5.0
 
 #: Time after the start of a load at which a fault begins, in seconds.
 _FAULT_AT_S: Final = 2.0
@@ -114,6 +122,44 @@
     assert isinstance(first, Ping) and isinstance(second, Ask) and second.number == 7, context.frames
 
 
+class _Receiver(HopReceiver):
+    """Keeps the first frame of a stream."""
+
+    def __init__(self) -> None:
+        self.frame: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
+
+    def receive(self, frame: Frame) -> None:
+        self.frame.set_result(frame)
+
+    def end(self, detail: str) -> None:
+        if not self.frame.done():
+            self.frame.set_exception(AssertionError(detail))
+
+
+@when('{what} with such bytes is sent from one instance to another')
+def step_no_utf_8(context: Any, what: str) -> None:
+    context.sent = builders.frame_without_utf_8(what)
+
+    async def send() -> Frame:
+        port = reserve_port()
+        hops, receiver = TcpHops(_HOST, port), _Receiver()
+        await hops.listen(lambda _link: receiver)
+        link = await hops.connect(f'{_HOST}:{port}', _Receiver())
+        link.send(context.sent)
+        try:
+            return await asyncio.wait_for(receiver.frame, _ARRIVAL_S)
+        finally:
+            link.close()
+            hops.stop()
+
+    context.received = asyncio.run(send())
+
+
+@then('the other instance receives the same')
+def step_received(context: Any) -> None:
+    assert context.received == context.sent, context.received
+
+
 @given('{count:d} instances with {most:d} connections for each target, all of which can be gateways')
 def step_few(context: Any, count: int, most: int) -> None:
     context.relay = World(
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -2,8 +2,8 @@
 
 import enum
 import struct
-from collections.abc import Iterator
-from typing import Annotated, Final
+from collections.abc import Callable, Iterator
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -16,10 +16,13 @@
 #: Version of the format; a stream of another version is closed, and statements take another way.
 FORMAT_VERSION: Final = 1
 
+#: Flag beside the version of a frame with a text that is no UTF-8: each of its texts has one character for each byte.
+_BYTES_FLAG: Final = 0x80
+
 #: Longest body of a frame, in bytes: a message of 1 MiB with each byte escaped, and the rest of the frame.
 MAX_BODY_BYTES: Final = 7 * 1024 * 1024
 
-#: Version of the format and length of the body.
+#: Version of the format with its flag, and length of the body.
 _HEADER: Final = struct.Struct('>BI')
 
 _REASONS_BY_CODE: Final = {
@@ -182,12 +185,18 @@
 
 _ENCODER: Final = msgspec.json.Encoder()
 _DECODER: Final = JsonDecoder[Frame](Frame)
+_ANY_DECODER: Final = JsonDecoder[Any](Any)
 
 
 def encode(frame: Frame) -> bytes:
     """:returns: A frame with its header."""
-    body = _ENCODER.encode(frame)
-    return _HEADER.pack(FORMAT_VERSION, len(body)) + body
+    version = FORMAT_VERSION
+    try:
+        body = _ENCODER.encode(frame)
+    except UnicodeEncodeError:
+        version |= _BYTES_FLAG
+        body = _ENCODER.encode(_convert_texts(msgspec.to_builtins(frame), _text_to_bytes))
+    return _HEADER.pack(version, len(body)) + body
 
 
 def pair_of(position: LogPosition | None) -> _Position | None:
@@ -215,7 +224,8 @@
         """
         self._buffer += received
         while len(self._buffer) >= _HEADER.size:
-            version, length = _HEADER.unpack_from(self._buffer)
+            marked_version, length = _HEADER.unpack_from(self._buffer)
+            version = marked_version & ~_BYTES_FLAG
             if version != FORMAT_VERSION:
                 raise FrameError(f'format version {version} instead of {FORMAT_VERSION}')
             if length > MAX_BODY_BYTES:
@@ -225,8 +235,42 @@
                 return
             body = bytes(self._buffer[_HEADER.size : end])
             self._buffer = self._buffer[end:]
-            try:
-                frame = _DECODER.decode(body)
-            except UnreadableError as error:
-                raise FrameError(f'unreadable frame: {error}') from error
-            yield frame
+            yield _decode(body, has_bytes=version != marked_version)
+
+
+def _decode(body: bytes, *, has_bytes: bool) -> Frame:
+    """Decode the body of a frame.
+
+    :param body: The body.
+    :param has_bytes: Whether each text has one character for each byte.
+    :returns: The frame.
+    :raises FrameError: It is malformed.
+    """
+    try:
+        if not has_bytes:
+            return _DECODER.decode(body)
+        frame: Frame = msgspec.convert(_convert_texts(_ANY_DECODER.decode(body), _bytes_to_text), Frame)
+        return frame
+    except (UnreadableError, msgspec.ValidationError, UnicodeEncodeError, RecursionError) as error:
+        raise FrameError(f'unreadable frame: {error}') from error
+
+
+def _text_to_bytes(text: str) -> str:
+    """:returns: One character for each byte of a text."""
+    return text.encode('utf-8', 'surrogateescape').decode('latin-1')
+
+
+def _bytes_to_text(text: str) -> str:
+    """:returns: The text of these bytes. :raises UnicodeEncodeError: A character is no byte."""
+    return text.encode('latin-1').decode('utf-8', 'surrogateescape')
+
+
+def _convert_texts(plain: Any, convert: Callable[[str], str]) -> Any:
+    """:returns: Plain JSON with each of its texts converted."""
+    if isinstance(plain, str):
+        return convert(plain)
+    if isinstance(plain, dict):
+        return {convert(key): _convert_texts(entry, convert) for key, entry in plain.items()}
+    if isinstance(plain, (list, tuple)):
+        return [_convert_texts(entry, convert) for entry in plain]
+    return plain
