Read a configuration although one of its strings is malformed

Cause: the decoder checks each string of the document before the entries are looked at one by one. Change: when a configuration can't be decoded, strings that no decoder reads are replaced by null besides what is nested too deep, so that the entry that has one is the only one to be ignored. The type of error for depth alone has no user any more. Evidence: the scenario "One odd entry of a configuration costs only itself" has such an entry in each list and such a field now; it fails on the code before (the configuration is unreadable) and passes now.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -43,7 +43,7 @@
     Then the other rows are read, and everything that was read can be sent on
 
   Scenario: One odd entry of a configuration costs only itself
-    When the operators' row has odd routes, services and organisations, and a field that is nested too deep
+    When the operators' row has odd entries in each list, a field that is nested too deep, and half a character
     Then all other routes, services and organisations are in force
 
   Scenario Outline: A connection to <address> is refused as unreachable, <by>
--- a/features/odd_entries.py
+++ b/features/odd_entries.py
@@ -93,13 +93,14 @@
 
 
 def with_odd_entries(plain: dict[str, Any]) -> bytes:
-    """:returns: A configuration with further entries, each of which can't be used, and a deep field of its own."""
-    odd = [b'null', b'[' * _DEEP_OBJECTS + b']' * _DEEP_OBJECTS, b'{"name": 7}']
+    """:returns: A configuration with further entries, each of which can't be used, and two odd fields of its own."""
+    nameless = b'{"name": "\\ud800", "host": "h", "route_type": "primary", "service": "svc"}'
+    odd = [b'null', b'[' * _DEEP_OBJECTS + b']' * _DEEP_OBJECTS, b'{"name": 7}', nameless]
     parts: list[bytes] = []
     for name, content in plain.items():
         raw = json.dumps(content).encode()
         if isinstance(content, list):
             raw = raw[:-1] + b', ' + b', '.join(odd) + b']'
         parts.append(json.dumps(name).encode() + b': ' + raw)
-    parts.append(b'"x": ' + DEEP_ARRAYS)
+    parts.extend((b'"x": ' + DEEP_ARRAYS, b'"\\udc00": 1'))
     return b'{' + b', '.join(parts) + b'}'
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -91,7 +91,7 @@
     msgspec.json.encode(list(found.members_by_id.values()))
 
 
-@when("the operators' row has odd routes, services and organisations, and a field that is nested too deep")
+@when("the operators' row has odd entries in each list, a field that is nested too deep, and half a character")
 def step_odd_configuration(context: Any) -> None:
     context.configuration = rows.decode_operator_row(
         'config', odd_entries.with_odd_entries(odd_entries.configuration())
--- a/packages/fescuequay-core/fescuequay_core/decoding.py
+++ b/packages/fescuequay-core/fescuequay_core/decoding.py
@@ -21,12 +21,12 @@
 _TOKEN: Final = re.compile(rb'"(?:[^"\\]|\\.)*\\?(?:"|\Z)|[\[\]{}]', re.DOTALL)
 
 
-class UnreadableError(ValueError):
-    """Bytes that are no JSON of the expected shape."""
+#: A string, and the colon after it if it is the name of a field.
+_STRING: Final = re.compile(rb'("(?:[^"\\]|\\.)*")(\s*:)?', re.DOTALL)
 
 
-class TooDeepError(UnreadableError):
-    """JSON that is nested too deep to be decoded."""
+class UnreadableError(ValueError):
+    """Bytes that are no JSON of the expected shape."""
 
 
 class JsonDecoder(Generic[Shape]):
@@ -43,7 +43,7 @@
         try:
             return self._decoder.decode(raw)
         except RecursionError:
-            raise TooDeepError('nested too deep') from None
+            raise UnreadableError('nested too deep') from None
         except msgspec.MsgspecError as error:
             raise UnreadableError(str(error)[:_DETAIL_CHARACTERS]) from None
 
@@ -69,3 +69,24 @@
     if depth <= levels:
         kept.append(raw[kept_until:])
     return b''.join(kept)
+
+
+_STRINGS: Final = JsonDecoder[str](str)
+
+
+def replace_malformed_strings(raw: bytes) -> bytes:
+    """Replace strings that no decoder reads, as one with half of a surrogate pair, so that the rest can be decoded.
+
+    :param raw: JSON.
+    :returns: JSON with ``null`` for such strings, and an empty name for fields whose name is one.
+    """
+    return _STRING.sub(_replace_if_malformed, raw)
+
+
+def _replace_if_malformed(found: re.Match[bytes]) -> bytes:
+    text, colon = found.groups()
+    try:
+        _STRINGS.decode(text)
+    except UnreadableError:
+        return b'""' + colon if colon else b'null'
+    return found[0]
