--- a/packages/fescuequay-emulator/fescuequay_emulator/table.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/table.py
@@ -80,6 +80,8 @@
         self._waiters: dict[asyncio.Future[None], None] = {}
         # When the connections of each instance last went silent; calls that began earlier stay without an answer.
         self._silent_at: dict[str, float] = {}
+        # For instances whose next write is left without an answer, the time until it takes effect.
+        self._lost_writes: dict[str, float | None] = {}
 
     async def keep_copies(self) -> None:
         """Keep copies of the rows for drills, until cancelled."""
@@ -142,6 +144,14 @@
         """Let the connections of an instance go silent, so that calls under way get no answer; new ones work."""
         self._silent_at[caller] = asyncio.get_running_loop().time()
 
+    def lose_next_write(self, caller: str, effect_after_s: float | None) -> None:
+        """Leave the next write of an instance without an answer.
+
+        :param caller: Name of the instance.
+        :param effect_after_s: Time until it takes effect, in seconds; nothing if it never does.
+        """
+        self._lost_writes[caller] = effect_after_s
+
     async def receive_call(self, caller: str) -> float:
         """Carry a call to the table and apply its faults.
 
@@ -179,13 +189,18 @@
         return CommitResult(is_accepted=True, version=version, rows_by_key={}, at_s=self.clock_s(), era=self.era)
 
     async def simulate_lost_answer(
-        self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
+        self, caller: str, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
     ) -> None:
         """For a share of the writes, schedule the write and never answer; otherwise do nothing."""
-        if self._rng.random() >= self.faults.lost_answer_share:
+        if caller in self._lost_writes:
+            effect_after_s = self._lost_writes.pop(caller)
+        elif self._rng.random() < self.faults.lost_answer_share:
+            effect_after_s = self._rng.uniform(0, self.faults.max_delay_s)
+        else:
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(self._rng.uniform(0, self.faults.max_delay_s), self.commit, versions, puts, deletes)
+        if effect_after_s is not None:
+            loop.call_later(effect_after_s, self.commit, versions, puts, deletes)
         await loop.create_future()
 
 
@@ -229,7 +244,7 @@
         self, versions: Mapping[str, int], puts: Mapping[str, bytes], deletes: Sequence[str]
     ) -> CommitResult:
         began_at = await self._store.receive_call(self._caller)
-        await self._store.simulate_lost_answer(versions, puts, deletes)
+        await self._store.simulate_lost_answer(self._caller, versions, puts, deletes)
         written = self._store.commit(versions, puts, deletes)
         await self._store.send_answer(self._caller, began_at)
         return written
