--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from features.coordinators import coordinator_of
 from fescuequay_core.relay.history import History
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription
 from fescuequay_core.relay.permits import Permits
@@ -112,7 +113,7 @@
 def step_learns(context: Any) -> None:
     async def run(world: World) -> None:
         await world.start()
-        holder = next(name for name, one in world.instances.items() if one.board.lease.holds(world.loop.time()))
+        holder = coordinator_of(world)
         name = next(name for name in world.instances if name != holder)
         peers = _InterruptedPeers(world, name)
         while peers.answer is None:
@@ -137,7 +138,9 @@
 def step_answers(context: Any) -> None:
     async def run(world: World) -> None:
         await world.start()
-        holder = next(one for one in world.instances.values() if one.board.lease.holds(world.loop.time()))
+        name = coordinator_of(world)
+        assert name is not None
+        holder = world.instances[name]
         other = next(one.board.own for one in world.instances.values() if one is not holder)
         member = holder.board.members_by_id[other.instance]
         began_at = world.loop.time()
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from features.coordinators import coordinator_of
 from fescuequay_core.relay.model import Configuration
 from fescuequay_core.types import InstanceId
 from fescuequay_emulator.load import Load
@@ -123,11 +124,6 @@
     assert context.held_at <= limit, context.held_at
 
 
-def _coordinator(world: World) -> str:
-    now = world.loop.time()
-    return next(name for name, instance in world.instances.items() if instance.board.lease.holds(now))
-
-
 def _withdraw_key(world: World) -> Callable[[Board], bool]:
     world.withdraw_key(world.credentials()[1])
     version = world.checker.configurations[-1][1].version
@@ -175,10 +171,11 @@
         await _time_until(
             world, lambda board: board.configuration is not None and board.configuration.version >= version
         )
-        coordinator = _coordinator(world)
+        coordinator = coordinator_of(world)
+        assert coordinator is not None
         world.store.silence_connections(coordinator)
         context.took_s = await _time_until(world, _CHANGES_BY_NAME[what](world))
-        assert _coordinator(world) == coordinator, 'the lease was renewed on another connection'
+        assert coordinator_of(world) == coordinator, 'the lease was renewed on another connection'
 
     world.run(run)
 
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from features.coordinators import coordinator_of
 from fescuequay_core.relay import placement, refusals
 from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.health import TargetHealth
@@ -50,7 +51,7 @@
     async def scenario(_: World) -> None:
         await world.start()
         # The coordinator is not used, because it would act on the closing record itself.
-        name = next(other for other in sorted(world.instances) if other != _coordinator_of(world))
+        name = next(other for other in sorted(world.instances) if other != coordinator_of(world))
         session = Session(1, Credential('key-o0'), DatabaseName('primary-0'), world.checker.sent, world.rng)
         assert await session.open(world.listeners[name]) is True
         statement = asyncio.ensure_future(session.execute(write(1, 'v')))
@@ -77,7 +78,7 @@
 
     async def scenario(_: World) -> None:
         await world.start()
-        name = next(other for other in sorted(world.instances) if other != _coordinator_of(world))
+        name = next(other for other in sorted(world.instances) if other != coordinator_of(world))
         session = Session(1, Credential('key-o0'), DatabaseName('bounded-0'), world.checker.sent, world.rng)
         if kind == 'write':
             session = Session(1, Credential('key-o0'), DatabaseName('primary-0'), world.checker.sent, world.rng)
@@ -167,12 +168,12 @@
     async def await_place(world: World) -> None:
         """Restart coordinators until one runs where it is wanted."""
         is_wanted_inside = coordinator == 'the coordinator'
-        holder = _coordinator_of(world)
+        holder = coordinator_of(world)
         while holder is None or (world.data_centres_by_instance[holder] == 'east') is not is_wanted_inside:
             if holder is not None:
                 await world.restart(holder, after_s=_TAKEOVER_S)
             await asyncio.sleep(_TAKEOVER_S)
-            holder = _coordinator_of(world)
+            holder = coordinator_of(world)
 
     _watch_readiness(context, seconds, lambda world: world.cut_data_centre('east'), lambda _, heal: heal(), await_place)
 
@@ -232,11 +233,11 @@
         await world.start()
         primary = world.primary_of('s0')
         data_centre = primary.description.data_centre
-        holder = _coordinator_of(world)
+        holder = coordinator_of(world)
         while world.data_centres_by_instance[holder] == data_centre:
             # The coordinator must not be cut off too; another one takes over while this one restarts.
             await world.restart(holder, after_s=3.0)
-            holder = _coordinator_of(world)
+            holder = coordinator_of(world)
         near = [world.instances[name] for name, other in world.data_centres_by_instance.items() if other == data_centre]
         until = world.loop.time() + 2.0
         while world.loop.time() < until:
@@ -285,23 +286,16 @@
     assert context.may is (may == 'may'), context.may
 
 
-def _coordinator_of(world: World) -> str | None:
-    for name in sorted(world.instances):
-        if world.instances[name].board.lease.holds(world.loop.time()):
-            return name
-    return None
-
-
 @when('the table rejects the coordinator alone for 6 s')
 def step_reject_coordinator(context: Any) -> None:
     world: World = context.relay
 
     async def scenario(_: World) -> None:
         await world.start()
-        first = _coordinator_of(world)
+        first = coordinator_of(world)
         world.store.faults = StoreFaults(rejected=frozenset((first or '',)))
         began_at = world.loop.time()
-        while _coordinator_of(world) in {first, None}:
+        while coordinator_of(world) in {first, None}:
             await asyncio.sleep(0.05)
         context.took_s = world.loop.time() - began_at
 
@@ -320,7 +314,7 @@
     async def scenario(_: World) -> None:
         await world.start()
         await asyncio.sleep(12)
-        name = next(other for other in sorted(world.instances) if other != _coordinator_of(world))
+        name = next(other for other in sorted(world.instances) if other != coordinator_of(world))
         nodes = [node for node in world.network.data_centres_by_node if node != name]
         for node in nodes:
             world.network.cut(name, node)
@@ -353,7 +347,7 @@
 
     async def scenario(_: World) -> None:
         await world.start()
-        first = _coordinator_of(world)
+        first = coordinator_of(world)
         other = next(name for name in sorted(world.instances) if name != first)
         for node in tuple(world.network.data_centres_by_node):
             world.network.cut(other, node)
@@ -394,7 +388,7 @@
         began_at = world.loop.time()
         primary = world.primary_of('s0')
         await world.replace_primary(primary, seconds)
-        board = world.instances[_coordinator_of(world)].board
+        board = world.instances[coordinator_of(world)].board
         while world.loop.time() < began_at + 12:
             leader = board.permits.leader(ServiceId('s0'), world.loop.time())
             if leader is not None and leader.target == primary.name:
@@ -407,7 +401,7 @@
 
 def _cut_off_other(world: World) -> None:
     """Cut off an instance that is not the coordinator."""
-    other = next(name for name in sorted(world.instances) if name != _coordinator_of(world))
+    other = next(name for name in sorted(world.instances) if name != coordinator_of(world))
     for node in tuple(world.network.data_centres_by_node):
         world.network.cut(other, node)
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -6,6 +6,7 @@
 
 from behave import then, when
 
+from features.coordinators import coordinator_of
 from fescuequay_emulator.load import Load
 from fescuequay_emulator.world import World
 
@@ -26,12 +27,9 @@
 
 def _holder(world: World) -> tuple[str, int]:
     """:returns: The coordinator and its token."""
-    now = world.loop.time()
-    return next(
-        (name, instance.board.lease.token)
-        for name, instance in world.instances.items()
-        if instance.board.lease.holds(now)
-    )
+    name = coordinator_of(world)
+    assert name is not None
+    return name, world.instances[name].board.lease.token
 
 
 @when('callers send statements for {seconds:g} s, and a renewal of the coordinator is not answered: the table {what}')
