Review case 2: stale reads from positions of a replaced primary

A transaction that stays open on a primary that was cut off and replaced goes on feeding its positions into the samples. While the coordinator gets no sample of the new term, it sends reads with a limit on staleness to a replica that receives nothing.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -8,6 +8,10 @@
 from standins.record import Record
 
 
+#: Characters of a text that the record shows.
+_MAX_SHOWN_CHARS = 120
+
+
 class Closed(Exception):
     """The connection ended, or there was no answer in time."""
 
@@ -42,11 +46,11 @@
         self._name = name
         self.last_request = ''
 
-    async def open(self, database: str, key: str, timeout_s: float = 2.0) -> None:
+    async def open(self, database: str, key: str, timeout_s: float = 2.0, buffer_bytes: int = 2**21) -> None:
         """Open the session. :raises Closed: It was refused or not answered in time."""
         try:
             async with asyncio.timeout(timeout_s):
-                self._reader, self._writer = await asyncio.open_connection(HOST, self._port, limit=2**21)
+                self._reader, self._writer = await asyncio.open_connection(HOST, self._port, limit=buffer_bytes)
                 self._writer.write(f'START {database} {key}\r\n'.encode())
                 line = (await self._reader.readline()).decode().rstrip('\r\n')
         except (OSError, TimeoutError) as error:
@@ -57,7 +61,7 @@
     async def query(self, text: str, timeout_s: float = 4.0) -> Answer:
         """Send a request and wait for its answer. :raises Closed: There was none."""
         request = self.last_request = secrets.token_hex(6)
-        self._record.write('sent', client=self._name, request=request, text=repr(text))
+        self._record.write('sent', client=self._name, request=request, text=_shortened(text))
         rows: list[str] = []
         code = detail = ''
         try:
@@ -81,9 +85,28 @@
             self._record.write('no answer', client=self._name, request=request, why=error)
             raise
         answer = Answer(code, detail, rows, rest.partition(' ')[0])
-        self._record.write('answered', client=self._name, request=request, code=code or 'success', rows=rows)
+        self._record.write('answered', client=self._name, request=request, code=code or 'success', rows=_shortened(rows))
         return answer
 
+    def send(self, text: str) -> None:
+        """Send a request without waiting for its answer. :raises Closed: The connection has ended."""
+        if self._writer.transport.is_closing():
+            raise Closed('the connection was closed')
+        request = self.last_request = secrets.token_hex(6)
+        self._record.write('sent', client=self._name, request=request, text=_shortened(text))
+        self._writer.write(f'QUERY {request} {text}\r\n'.encode())
+
+    async def read_some(self, size: int) -> int:
+        """Read a part of what has arrived.
+
+        :returns: Number of bytes.
+        :raises Closed: The connection has ended.
+        """
+        received = await self._reader.read(size)
+        if not received:
+            raise Closed('the connection was closed')
+        return len(received)
+
     async def send_raw(self, raw: bytes) -> None:
         """Send bytes, and discard the answers until the connection ends. :raises OSError: It was reset."""
         self._writer.write(raw)
@@ -94,3 +117,8 @@
         """Close the connection."""
         if getattr(self, '_writer', None) is not None:
             self._writer.close()
+
+
+def _shortened(content: object) -> str:
+    text = repr(content)
+    return text if len(text) < _MAX_SHOWN_CHARS else f'{text[:_MAX_SHOWN_CHARS]}... ({len(text)} characters)'
--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -44,7 +44,12 @@
         self.group: Group | None = None
         #: When each of its writes ran, by request.
         self.ran_at: dict[str, float] = {}
+        #: Writes that its log had when a read ran, by the request of the read.
+        self.seen_by_read: dict[str, frozenset[str]] = {}
         self.is_dark = False
+        #: Whether it receives nothing as a replica, and whether it is partitioned from the platform's store.
+        self.is_deaf = False
+        self.is_cut_off = False
         self._record = record
         self._work_s = work_s
         self._writers: set[asyncio.StreamWriter] = set()
@@ -178,8 +183,9 @@
                 self._append(item, data, request)
             return self._done(session, self._signature(request))
         if word == 'READ':
+            self.seen_by_read[request] = frozenset(entry[3] for entry in self.log)
             value = next((data for _, name, data, _ in reversed(self.log) if name == item), '')
-            self._record.write('read runs', at=self.name, request=request, log=_text(self.position), row=value or '-')
+            self._record.write('read runs', at=self.name, request=request, log=_text(self.position), row=value[:40] or '-')
             return [f'ROW {value}', *self._done(session, self._signature(request))]
         return self._error(session, 'MALFORMED')
 
@@ -187,7 +193,7 @@
         number = self.position[1] + 1
         self.log.append(((self.term, number), item, data, request))
         self.ran_at[request] = self._record.now()
-        self._record.write('write runs', at=self.name, request=request, log=_text(self.position), item=item, data=data)
+        self._record.write('write runs', at=self.name, request=request, log=_text(self.position), item=item, data=data[:40])
 
     def _signature(self, request: str) -> str:
         return f'{self.name}.{request}.{secrets.token_hex(4)}'
@@ -234,8 +240,9 @@
         self._replicating = asyncio.create_task(self._replicate())
 
     def report(self, database: Database) -> None:
-        """Report the state of a database."""
-        self._store.put('servers', database.name, database.entry())
+        """Report the state of a database, unless it can't."""
+        if not database.is_cut_off:
+            self._store.put('servers', database.name, database.entry())
 
     def promote(self, database: Database) -> None:
         """Let a database lead the next term."""
@@ -253,6 +260,25 @@
         database.is_running = not is_dark
         self._record.write('database is dark' if is_dark else 'database is back', id=database.name)
 
+    def cut_off(self, database: Database, expire_after_s: float) -> None:
+        """Partition a database from its replicas and from the store, where its entry expires."""
+        database.is_cut_off = True
+        self.cuts = {frozenset((database.name, other.name)) for other in self.databases if other is not database}
+        self._record.write('database is cut off from its replicas and the store', id=database.name)
+        asyncio.get_running_loop().call_later(expire_after_s, self._expire, database)
+
+    def heal(self, database: Database) -> None:
+        """End the partition of a database."""
+        database.is_cut_off = False
+        self.cuts = set()
+        self._record.write('database is reached again', id=database.name)
+        self.report(database)
+
+    def _expire(self, database: Database) -> None:
+        if database.is_cut_off:
+            self._record.write('entry expires', id=database.name)
+            self._store.delete('servers', database.name)
+
     async def _replicate(self) -> None:
         met_since: dict[str, float] = {}
         while True:
@@ -271,7 +297,7 @@
                 else:
                     met_since.pop(one.name, None)
             for replica in self.databases:
-                if replica.is_primary or replica.is_dark:
+                if replica.is_primary or replica.is_dark or replica.is_deaf:
                     continue
                 sources = [one for one in leading if one.term >= replica.term and self._reach(one, replica)]
                 if sources:
