--- a/review/standins/instances.py
+++ b/review/1/standins/instances.py
@@ -14,7 +14,7 @@
 from standins import http
 from standins.record import Record
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 
 class Instance:
