Log on what a read at a replica rests, and how a promotion's call ended

A read at a replica named the target only, so a replica that lies about its log, a sample of a replaced primary and a wrong choice of sample looked alike. A promotion without an answer said "timeout" only, so that a call that was never sent, one that outlasted its lease and one that the platform ignored looked alike.

Change: `served` names the term of the newest known leader record and, at a replica, the position that was required, the term of its sample and the sample's age. No decision changes.

--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -9,7 +9,7 @@
 from fescuequay_core.relay import eras, refusals, settlement
 from fescuequay_core.relay.buckets import AcquireResult, Buckets
 from fescuequay_core.relay.evacuation import Evacuations
-from fescuequay_core.relay.freshness import Samples
+from fescuequay_core.relay.freshness import RequiredPosition, Samples
 from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_entry.relay.pool import PooledConnection
@@ -26,7 +26,8 @@
     newest = self.newest(route.service)
     if newest is None or route.staleness_s <= 0:
         return None
-    return dataclasses.replace(newest[1].position, number=0), newest[1].at
+    term, sample = newest
+    return RequiredPosition(dataclasses.replace(sample.position, number=0), sample.at, sample, term)
 
 
 def _required_without_session(original: Callable[..., Any]) -> Callable[..., Any]:
--- a/packages/fescuequay-core/fescuequay_core/relay/freshness.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/freshness.py
@@ -27,6 +27,22 @@
     position: LogPosition
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequiredPosition:
+    """Position that a replica must have reached to serve a read, and the sample on which that rests.
+
+    :param position: The position.
+    :param since: Time by which the primary had certainly reached it; infinite if that is not known.
+    :param sample: Sample that covers the commits that the read must see.
+    :param term: Term of the leader record under which the sample was taken.
+    """
+
+    position: LogPosition
+    since: Instant
+    sample: Sample
+    term: Term
+
+
 class Samples:
     """Samples of each service's primary in its present term."""
 
@@ -75,21 +91,20 @@
 
     def required_position(
         self, route: Route, session_position: LogPosition | None, began_at: Instant
-    ) -> tuple[LogPosition, Instant] | None:
+    ) -> RequiredPosition | None:
         """Determine which position a replica must have reached to serve a read.
 
         :param route: Route of the read.
         :param session_position: Latest commit of the same session.
         :param began_at: When the read, or its transaction, arrived.
-        :returns: The position and since when the primary has had it, or none when only the primary may serve.
+        :returns: The position, or none when only the primary may serve.
         """
         self._needed_at_by_service[route.service] = began_at
         sample = self.oldest_since(route.service, began_at - route.staleness_s)
         if sample is None or route.staleness_s <= 0:
             return None
-        if session_position is None or session_position.term < self._terms_by_service[route.service]:
-            # A position of an earlier term may have been rolled back; what was kept lies before this term.
-            return sample.position, sample.at
-        if session_position <= sample.position:
-            return sample.position, sample.at
-        return session_position, float('inf')
+        term = self._terms_by_service[route.service]
+        # A session's position of an earlier term may have been rolled back; what was kept lies before this term.
+        if session_position is None or session_position.term < term or session_position <= sample.position:
+            return RequiredPosition(sample.position, sample.at, sample, term)
+        return RequiredPosition(session_position, float('inf'), sample, term)
--- a/packages/fescuequay-core/fescuequay_core/relay/lease.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/lease.py
@@ -138,6 +138,17 @@
         """:returns: Time since the latest renewal of this instance that the table accepted."""
         return now - self._renewed_at
 
+    def left_s(self, token: int, now: Instant) -> float:
+        """Return how long this instance may still act as the coordinator unless it renews the lease.
+
+        :param token: Token under which it acts.
+        :param now: Present time.
+        :returns: That time, in seconds; 0 when another token is in force or the lease has ended.
+        """
+        if self.token != token or not self.holds(now):
+            return 0.0
+        return self._renewed_at + LEASE_S - now
+
     def expires_at(self) -> Instant:
         """:returns: When the lease of the newest known row expires unless it is renewed."""
         return self._seen_at + LEASE_S
--- a/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
@@ -1,9 +1,10 @@
 """An operation: its requirements, the connection that it runs on, and what its attempts may have done."""
 
 import dataclasses
-from typing import Final
+from typing import Any, Final
 
 from fescuequay_core.relay import refusals
+from fescuequay_core.relay.freshness import RequiredPosition
 from fescuequay_core.relay.model import LeaderRecord, LogPosition, Route, TargetDescription
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.relay.waiting import WaitingStatement
@@ -68,12 +69,12 @@
 
     :param record: Leader record under whose permit the primary is used; nothing for a replica.
     :param target: The target.
-    :param after: Log position that it must have reached.
+    :param required: Log position that a replica must have reached; nothing for the primary.
     """
 
     record: LeaderRecord | None
     target: TargetDescription
-    after: LogPosition | None = None
+    required: RequiredPosition | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,12 +83,33 @@
 
     :param pooled: The connection.
     :param record: Leader record under whose permit the primary is used; nothing for a replica.
-    :param after: Log position that the target must have reached.
+    :param required: Log position that a replica must have reached; nothing for the primary.
+    :param has_begun: Whether a transaction has begun on it, so that the target has checked the position.
     """
 
     pooled: PooledConnection
     record: LeaderRecord | None
-    after: LogPosition | None
+    required: RequiredPosition | None = None
+    has_begun: bool = False
+
+    @property
+    def after(self) -> LogPosition | None:
+        """:returns: Log position that the target still has to check."""
+        return None if self.required is None or self.has_begun else self.required.position
+
+    def basis(self, now: Instant) -> dict[str, Any]:
+        """Describe on what the freshness of a read at a replica rests.
+
+        :param now: Present time.
+        :returns: The pairs of a log line; none for the primary.
+        """
+        if self.required is None:
+            return {}
+        return {
+            'after': self.required.position,
+            'sample_term': self.required.term,
+            'sample_age_s': round(now - self.required.sample.at, 3),
+        }
 
 
 class FailedAttempts:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -337,18 +337,27 @@
         if not lease.holds(self._board.clock()) or lease.record is None:
             await self._check_still_coordinator(closing)
             return None
+        token = lease.record.token
+        began_at = self._board.clock()
         log_event(
             'promoting',
             service=closing.service,
             target=candidate.target.target,
             position=candidate.report.position,
-            token=lease.record.token,
+            token=token,
+            lease_left_s=round(lease.left_s(token, began_at), 3),
             others=','.join(f'{name}:{report.position}' for name, (_, report) in reports.items()),
         )
-        answer = await self._promoter.promote(
-            closing.service, candidate.target.target, self._board.own.instance, lease.record.token
+        answer = await self._promoter.promote(closing.service, candidate.target.target, self._board.own.instance, token)
+        log_event(
+            'promote_answered',
+            service=closing.service,
+            target=candidate.target.target,
+            answer=answer.value,
+            token=token,
+            waited_s=round(self._board.clock() - began_at, 3),
+            lease_left_s=round(lease.left_s(token, self._board.clock()), 3),
         )
-        log_event('promote_answered', service=closing.service, target=candidate.target.target, answer=answer.value)
         if answer is PromoteResult.REFUSED:
             self._board.health_of(candidate.target).record_failure(
                 self._board.clock(), self._board.clock(), is_refusal=True
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -177,9 +177,9 @@
     async def _handle_query(self, query: Query) -> None:
         began_at = self._board.clock()
         outcome = 'served'
-        where = '-'
+        placement: Placement | None = None
         try:
-            where = await self._dispatch(query, began_at)
+            placement = await self._dispatch(query, began_at)
         except Refused as refusal:
             outcome = refusal.reason.code
             self._caller.refuse(refusal, self._state(), self._reported_position)
@@ -201,24 +201,33 @@
             self._metrics.record_statement(
                 self._organisation_label(), query.statement.kind, outcome, self._board.clock() - began_at
             )
-            if outcome == 'served' and where != '-':
-                log_event(
-                    'served',
-                    request=query.request,
-                    target=where,
-                    ms=round((self._board.clock() - began_at) * 1000, 1),
-                    **self._basis.pairs(),
-                )
-
-    async def _dispatch(self, query: Query, began_at: Instant) -> str:
+            if placement is not None:
+                self._log_served(query, placement, began_at)
+
+    def _log_served(self, query: Query, placement: Placement, began_at: Instant) -> None:
+        now = self._board.clock()
+        leader = self._board.permits.record(placement.pooled.target.service)
+        log_event(
+            'served',
+            request=query.request,
+            target=placement.pooled.target.target,
+            ms=round((now - began_at) * 1000, 1),
+            leader_term=leader.term if leader is not None else '-',
+            **placement.basis(now),
+            **self._basis.pairs(),
+        )
+
+    async def _dispatch(self, query: Query, began_at: Instant) -> Placement | None:
+        """:returns: Where the statement ran; nothing if it was answered without a target."""
         statement = query.statement
         transaction = self._transaction
         if transaction is not None and transaction.failure is not None:
-            return self._answer_failed(transaction, statement)
+            self._answer_failed(transaction, statement)
+            return None
         if statement.kind in _LOCAL_KINDS:
             self._apply_locally(statement)
             self._answer_locally()
-            return '-'
+            return None
         if transaction is not None:
             return await self._handle_in_transaction(transaction, query, began_at)
         if statement.kind in {StatementKind.COMMIT, StatementKind.ROLLBACK}:
@@ -228,7 +237,7 @@
             operation.opens_transaction = True
             self._transaction = OpenTransaction(operation, statement.is_write)
             self._answer_locally()
-            return '-'
+            return None
         shape = self._shape_of(statement)
         try:
             outcome, placement = await self._runner.run_single(operation, query.request, statement, shape)
@@ -238,7 +247,7 @@
         if statement.kind is StatementKind.WRITE or (shape is not None and shape[1]):
             self._record_commit(outcome)
         self._send_outcome(outcome, placement)
-        return placement.pooled.target.target
+        return placement
 
     def _admit(self) -> tuple[Route, OrganisationId]:
         self._basis = self._board.configuration_basis()
@@ -268,12 +277,14 @@
             raise Refused(refusals.UNKNOWN_STATEMENT, f'{statement.name} is not prepared')
         return shape
 
-    async def _handle_in_transaction(self, transaction: OpenTransaction, query: Query, began_at: Instant) -> str:
+    async def _handle_in_transaction(
+        self, transaction: OpenTransaction, query: Query, began_at: Instant
+    ) -> Placement | None:
         statement = query.statement
         if statement.kind is StatementKind.ROLLBACK:
             self._end_transaction(is_clean=True)
             self._answer_locally()
-            return '-'
+            return None
         if statement.kind is StatementKind.BEGIN:
             raise Refused(refusals.MISPLACED, 'a transaction is already open')
         try:
@@ -285,7 +296,7 @@
                 self._transaction = None
             raise
 
-    async def _execute_in_transaction(self, transaction: OpenTransaction, query: Query, began_at: Instant) -> str:
+    async def _execute_in_transaction(self, transaction: OpenTransaction, query: Query, began_at: Instant) -> Placement:
         statement = query.statement
         self._admit()
         shape = self._shape_of(statement)
@@ -318,7 +329,7 @@
         if is_commit:
             self._finish_commit(transaction, outcome)
         self._send_outcome(outcome, placement)
-        return placement.pooled.target.target
+        return placement
 
     async def _begin_or_return_token(self, transaction: OpenTransaction) -> Placement:
         try:
@@ -353,7 +364,7 @@
                     ) from None
                 continue
             if outcome.fault is None:
-                return dataclasses.replace(placement, after=None)
+                return dataclasses.replace(placement, has_begun=True)
             self._runner.release(placement, is_clean=outcome.state is SessionState.IDLE)
             await self._runner.prepare_retry(operation, placement, outcome.fault, tried)
 
@@ -373,12 +384,12 @@
         if placement is not None:
             self._runner.release(placement, is_clean=outcome.state is SessionState.IDLE)
 
-    def _answer_failed(self, transaction: OpenTransaction, statement: Statement) -> str:
+    def _answer_failed(self, transaction: OpenTransaction, statement: Statement) -> None:
         failure = transaction.failure
         if statement.kind is StatementKind.ROLLBACK:
             self._transaction = None
             self._answer_locally()
-            return '-'
+            return
         if statement.kind is StatementKind.COMMIT:
             self._transaction = None
             raise Refused(refusals.COMMIT_OF_FAILED, failure.detail if failure else '')
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -412,7 +412,7 @@
             return None
         operation.sent_to = target.target
         self._budgets.of(target.target).record_statement()
-        placement = Placement(pooled, choice.record, choice.after)
+        placement = Placement(pooled, choice.record, choice.required)
         pooled.note_record(choice.record)
         try:
             await asyncio.wait_for(pooled.apply_session_values(operation.values), _SILENCE_TIMEOUT_S)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/target_selector.py
@@ -150,7 +150,7 @@
                         target, health, pool.available(), pool.waiting(), is_primary, has_idle, pool.is_shared
                     )
                 )
-        is_replicated = required is not None and now - required[1] >= placement.REPLICATION_DELAY_S
+        is_replicated = required is not None and now - required.since >= placement.REPLICATION_DELAY_S
         untried = placement.exclude_tried(placement.exclude_silent(candidates, now), frozenset(tried))
         best = placement.pick(untried, self._board.own.data_centre, now, random.random, is_replicated=is_replicated)
         leader = self._board.leader(operation.route.service)
@@ -158,4 +158,4 @@
             return None
         if best.is_primary and leader is not None:
             return Choice(leader[0], best.target)
-        return Choice(None, best.target, required[0]) if required is not None else None
+        return Choice(None, best.target, required) if required is not None else None
