Give up a promotion when the lease under which it was sent ends, so that it can't arrive later

Cause: the request outlived the lease. It had a constant limit of 2 s, of which the lease covers 1.1 s at most; nobody looked at the lease between opening a connection and sending; and a request that is given up, or whose process is killed, was closed by a FIN behind the held bytes, which are then delivered when the partition ends.

Change: a request that needs an authority gets one (`Authority`; for a promotion the lease, by its token). It is checked at the moment of sending, it bounds the wait as it stands then, and the call ends early if the lease is resigned or lost. Every connection of the HTTP client has SO_LINGER 0 from its start, so that any close resets it, also that of a killed process; the kernel drops what is not acknowledged within the lease, also for a stopped process. Replacements have ended before peers hear of a resignation or the lease is released. A promotion that was not sent is told as such. The emulator gets a promoter that is reached by a path of its own, paths that hold messages, and the fault `hold_promotion`.

Why it works: a successor acts 1.5 s after the last renewal at the earliest, or after the resignation; by then the bytes of the earlier holder have been reset. What remains is a process that is stopped between the check and the send.

Tests: features/late_calls.feature, 12 scenarios.

--- /dev/null
+++ b/features/late_calls.feature
@@ -0,0 +1,50 @@
+Feature: A call that was given up does not take effect later
+  A network partition holds bytes up and delivers them when it ends, unless their sender has reset the connection.
+
+  # Guards against a promotion, demotion or statement that runs seconds after its sender has given it up.
+  Scenario Outline: The network holds <what>, which <end> before it is delivered
+    Given an end behind a link
+    When the link holds <what>, which <end>
+    Then the end gets nothing of it when the link delivers what it holds
+
+    Examples:
+      | what             | end                              |
+      | a request        | is given up after its time limit |
+      | a promotion      | outlasts its lease               |
+      | a promotion      | is sent by a process that is killed |
+
+  # Guards against a promotion that is sent under a lease which ended while its connection was opened.
+  Scenario: The lease ends while the connection for a promotion is opened
+    Given an end behind a link
+    When a promotion is requested under a lease that ends before the connection is open
+    Then the answer is that it was not sent, and the end gets nothing
+
+  # Guards against a wait for a promotion's answer that outlasts the lease under which it was sent.
+  Scenario Outline: A promotion without an answer is given up when <what>
+    Given an end behind a link
+    When a promotion stays without an answer, and <what>
+    Then its outcome is unknown after <least> to <most> s
+
+    Examples:
+      | what                                          | least | most |
+      | its lease has 0.4 s left                      | 0.35  | 0.8  |
+      | its lease has 0.4 s left and is renewed       | 0.35  | 0.8  |
+      | its lease is resigned after 0.1 s             | 0.05  | 0.35 |
+
+  # Guards against the promotion of a former holder that arrives after its successor's.
+  Scenario Outline: In a deployment, a cut that holds a promotion ends <when>
+    Given a deployment whose coordinator is cut off as it requests a promotion, until <when>
+    When it is run on seeds 1 to 3
+    Then no seed violated a guarantee
+
+    Examples:
+      | when      |
+      | later     |
+      | successor |
+      | killed    |
+      | frozen    |
+
+  Scenario: Without the end of a promotion with its lease, the checker finds its late effect
+    Given a deployment whose coordinator is cut off as it requests a promotion, until successor
+    When it is run on seeds 1 to 3 without the end of a promotion with its lease
+    Then a guarantee was violated: one
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -12,12 +12,17 @@
 from fescuequay_core.relay.freshness import RequiredPosition, Samples
 from fescuequay_core.relay.lease import CoordinatorLease
 from fescuequay_core.relay.refusals import Refused
+from fescuequay_entry.relay.authority import LeaseAuthority
 from fescuequay_entry.relay.pool import PooledConnection
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
 
+#: Limit of a promotion that is not bound by its lease, in seconds.
+_PROMOTION_LIMIT_S = 2.0
+
+
 async def _collect_nothing(*_: Any, is_planned: bool) -> None:
     """Collect no permit."""
 
@@ -90,6 +95,7 @@
         'the doubt about records of an earlier era': lambda: patch(
             settlement, 'settle', _settle_as_known(settlement.settle)
         ),
+        'the end of a promotion with its lease': lambda: patch(LeaseAuthority, 'left_s', lambda _: _PROMOTION_LIMIT_S),
         'the wait before a new era is settled': lambda: patch(CoordinatorLease, 'settles_at', lambda _: float('-inf')),
         'the order of tokens across eras': lambda: patch(eras, 'next_token', lambda known, _: known + 1),
         'the wait for permits of an earlier era': lambda: patch(
--- a/features/soak/platform.py
+++ b/features/soak/platform.py
@@ -14,6 +14,9 @@
 #: Delay of an answer that counts as lost, in seconds: longer than any timeout of an instance.
 _LOST_ANSWER_S: Final = 30.0
 
+#: Interval at which held bytes check whether they may pass, in seconds.
+_HOLD_CHECK_S: Final = 0.01
+
 
 class Platform:
     """Versioned rows with a change feed, conditional writes, and promotions.
@@ -162,15 +165,17 @@
 
 
 class Proxy:
-    """Forwards connections between one instance and the platform; ``mode`` is pass, silent or reset.
+    """Forwards connections to a port; ``mode`` is pass, silent or reset.
 
-    Connections that were open when they were silenced carry nothing more, and new ones work.
+    While it is silent, bytes are held, and delivered later unless their sender has reset the connection. Connections
+    that were open when they were silenced carry nothing more, and new ones work.
 
     :param platform_port: Port of the platform.
     """
 
     def __init__(self, platform_port: int) -> None:
         self.mode = 'pass'
+        self.held_bytes = 0
         self.port = 0
         self._platform_port = platform_port
         self._writers: set[asyncio.StreamWriter] = set()
@@ -215,8 +220,17 @@
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while chunk := await reader.read(65536):
-                while self.mode == 'silent':
-                    await asyncio.sleep(0.05)
+                await self._hold(len(chunk))
+                if reader.exception() is not None:
+                    # The sender has reset the connection, so what was held is lost.
+                    return
                 if writer not in self._silenced:
                     writer.write(chunk)
                     await writer.drain()
+
+    async def _hold(self, size: int) -> None:
+        """Hold bytes while nothing passes."""
+        self.held_bytes += size
+        while self.mode == 'silent':
+            await asyncio.sleep(_HOLD_CHECK_S)
+        self.held_bytes -= size
--- /dev/null
+++ b/features/steps/late_call_steps.py
@@ -0,0 +1,212 @@
+"""Steps in which a link holds the bytes of a call that is then given up."""
+
+import asyncio
+import sys
+import textwrap
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.soak.databases import HOST
+from features.soak.platform import Proxy
+from fescuequay_core.types import InstanceId, ServiceId, TargetId
+from fescuequay_emulator.scenarios import HOLD_KIND, Fault, Scenario, run_scenario
+from fescuequay_entry.relay.authority import Authority
+from fescuequay_entry.relay.http_client import HttpClient
+from fescuequay_entry.relay.ports import PromoteResult
+from fescuequay_platform.store import PlatformPromoter
+
+#: Time until bytes have reached the other end of a connection on loopback, in seconds.
+_ARRIVAL_S: Final = 0.15
+
+#: Time limit of a call that is held, in seconds.
+_LIMIT_S: Final = 0.2
+
+_TOKEN: Final = 3
+
+_PROMOTING_PROCESS: Final = """
+    import asyncio, sys
+    from features.steps.late_call_steps import SteadyAuthority, promote
+    asyncio.run(promote(sys.argv[1], SteadyAuthority(30)))
+"""
+
+
+class SteadyAuthority(Authority):
+    """An authority that says the given times, and the last of them again and again."""
+
+    def __init__(self, *left_s: float) -> None:
+        self._left_s = list(left_s)
+
+    def left_s(self) -> float:
+        """:returns: The next of the given times."""
+        return self._left_s.pop(0) if len(self._left_s) > 1 else self._left_s[0]
+
+
+class EndingAuthority(Authority):
+    """An authority that ends at a time, whatever it promised before.
+
+    :param left_s: What it promises until then, in seconds; less by the time that has passed unless it is renewed.
+    :param ends_after_s: When it ends, in seconds.
+    """
+
+    def __init__(self, left_s: float, ends_after_s: float, *, is_renewed: bool) -> None:
+        self._began_at = asyncio.get_running_loop().time()
+        self._left_s = left_s
+        self._ends_after_s = ends_after_s
+        self._is_renewed = is_renewed
+
+    def left_s(self) -> float:
+        """:returns: The time left."""
+        passed_s = asyncio.get_running_loop().time() - self._began_at
+        if passed_s >= self._ends_after_s:
+            return 0.0
+        return self._left_s if self._is_renewed else self._left_s - passed_s
+
+
+async def promote(address: str, authority: Authority) -> PromoteResult:
+    """Request a promotion with the platform's adapter."""
+    promoter = PlatformPromoter(HttpClient(), address)
+    return await promoter.promote(ServiceId('s'), TargetId('t'), InstanceId('n'), _TOKEN, authority)
+
+
+class HeldEnd:
+    """An end that records what arrives, behind a link."""
+
+    def __init__(self) -> None:
+        self.received = b''
+
+    async def run(self, step: Callable[['HeldEnd'], Awaitable[Any]]) -> Any:
+        """Run a step while the end and the link listen."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.link = Proxy(server.sockets[0].getsockname()[1])
+        await self.link.start()
+        self.address = f'{HOST}:{self.link.port}'
+        try:
+            return await step(self)
+        finally:
+            server.close()
+
+    async def deliver(self) -> None:
+        """Let the link deliver what it holds."""
+        # What a close has sent arrives at the link first.
+        await asyncio.sleep(_ARRIVAL_S)
+        self.link.mode = 'pass'
+        await asyncio.sleep(_ARRIVAL_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while chunk := await reader.read(4096):
+                self.received += chunk
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+
+async def _give_up_request(end: HeldEnd) -> None:
+    await _expect_timeout(HttpClient().request('POST', end.address, '/x'))
+
+
+async def _outlast_lease(end: HeldEnd) -> None:
+    assert await promote(end.address, SteadyAuthority(_LIMIT_S)) is PromoteResult.UNKNOWN
+
+
+async def _kill_sender(end: HeldEnd) -> None:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-c', textwrap.dedent(_PROMOTING_PROCESS), end.address
+    )
+    while not end.link.held_bytes:
+        await asyncio.sleep(_ARRIVAL_S)
+    process.kill()
+    await process.wait()
+
+
+async def _expect_timeout(call: Awaitable[Any]) -> None:
+    try:
+        await asyncio.wait_for(call, _LIMIT_S)
+    except TimeoutError:
+        return
+    raise AssertionError('the call was answered')
+
+
+_HELD_CALLS: Final[dict[tuple[str, str], Callable[[HeldEnd], Awaitable[None]]]] = {
+    ('a request', 'is given up after its time limit'): _give_up_request,
+    ('a promotion', 'outlasts its lease'): _outlast_lease,
+    ('a promotion', 'is sent by a process that is killed'): _kill_sender,
+}
+
+
+@given('an end behind a link')
+def step_end(context: Any) -> None:
+    context.end = HeldEnd()
+
+
+@when('the link holds {what}, which {end}')
+def step_hold(context: Any, what: str, end: str) -> None:
+    async def run(held: HeldEnd) -> None:
+        held.link.mode = 'silent'
+        await _HELD_CALLS[what, end](held)
+        context.held_bytes = held.link.held_bytes
+        await held.deliver()
+
+    asyncio.run(context.end.run(run))
+
+
+@then('the end gets nothing of it when the link delivers what it holds')
+def step_nothing(context: Any) -> None:
+    assert context.held_bytes > 0, 'the link held nothing'
+    assert not context.end.received, context.end.received
+
+
+@when('a promotion is requested under a lease that ends before the connection is open')
+def step_slow_connection(context: Any) -> None:
+    async def run(held: HeldEnd) -> PromoteResult:
+        # Asked twice while it connects, and then at the moment of sending.
+        result = await promote(held.address, SteadyAuthority(1.0, 1.0, 0.0))
+        await asyncio.sleep(_ARRIVAL_S)
+        return result
+
+    context.result = asyncio.run(context.end.run(run))
+
+
+@then('the answer is that it was not sent, and the end gets nothing')
+def step_not_sent(context: Any) -> None:
+    assert context.result is PromoteResult.NOT_SENT, context.result
+    assert not context.end.received, context.end.received
+
+
+@when('a promotion stays without an answer, and {what}')
+def step_unanswered(context: Any, what: str) -> None:
+    async def run(held: HeldEnd) -> tuple[PromoteResult, float]:
+        began_at = asyncio.get_running_loop().time()
+        ends_after_s = 0.1 if 'resigned' in what else 30.0
+        authority = EndingAuthority(0.4, ends_after_s, is_renewed='renewed' in what)
+        return await promote(held.address, authority), asyncio.get_running_loop().time() - began_at
+
+    context.outcome = asyncio.run(context.end.run(run))
+
+
+@then('its outcome is unknown after {least:g} to {most:g} s')
+def step_unknown_after(context: Any, least: float, most: float) -> None:
+    result, took_s = context.outcome
+    assert result is PromoteResult.UNKNOWN, result
+    assert least <= took_s <= most, took_s
+
+
+@given('a deployment whose coordinator is cut off as it requests a promotion, until {when}')
+def step_held_promotion(context: Any, when: str) -> None:
+    how = '' if when == 'later' else when
+    context.relay_scenario = Scenario(
+        'a promotion that is held', seconds=14, faults=(Fault(at=2, kind=HOLD_KIND, for_s=5.5, how=how),)
+    )
+
+
+@when('it is run on seeds {first:d} to {last:d}')
+def step_run_on_seeds(context: Any, first: int, last: int) -> None:
+    context.runs = [run_scenario(context.relay_scenario, seed) for seed in range(first, last + 1)]
+
+
+@then('no seed violated a guarantee')
+def step_no_seed_violated(context: Any) -> None:
+    assert not any(figures.broken for figures in context.runs), [figures.broken[:2] for figures in context.runs]
--- a/packages/fescuequay-emulator/fescuequay_emulator/network.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/network.py
@@ -11,10 +11,11 @@
 
 
 class CutMode(enum.Enum):
-    """How a cut path treats messages: it drops them, or refuses them with an error."""
+    """How a cut path treats messages: it drops them, refuses them with an error, or holds them until it is restored."""
 
     SILENT = 'silent'
     REFUSING = 'refusing'
+    HOLDING = 'holding'
 
 
 class Network:
@@ -27,6 +28,7 @@
         self._rng = rng
         self.data_centres_by_node: dict[str, str] = {}
         self._cuts: dict[tuple[str, str], CutMode] = {}
+        self._held: dict[tuple[str, str], list[asyncio.Future[None]]] = {}
 
     def add(self, node: str, data_centre: str) -> None:
         """Add a node in a data centre."""
@@ -39,8 +41,11 @@
 
     def heal(self, near: str, far: str) -> None:
         """Restore the path between two nodes."""
-        self._cuts.pop((near, far), None)
-        self._cuts.pop((far, near), None)
+        for path in ((near, far), (far, near)):
+            self._cuts.pop(path, None)
+            for message in self._held.pop(path, ()):
+                if not message.done():
+                    message.set_result(None)
 
     def is_cut(self, near: str, far: str) -> bool:
         """:returns: Whether the path from one node to another is cut."""
@@ -49,6 +54,8 @@
     async def transmit(self, start: str, end: str) -> None:
         """Wait for the one-way delay; on a path that is cut silently, wait for ever.
 
+        A message that is held is lost if the sender cancels the call meanwhile, as by a reset of its connection.
+
         :raises ConnectionRefusedError: The path is cut and refuses messages.
         """
         is_same_data_centre = self.data_centres_by_node.get(start) == self.data_centres_by_node.get(end)
@@ -61,3 +68,7 @@
             raise ConnectionRefusedError(f'{start} to {end}')
         if how is CutMode.SILENT:
             await asyncio.get_running_loop().create_future()
+        if how is CutMode.HOLDING:
+            message = asyncio.get_running_loop().create_future()
+            self._held.setdefault((start, end), []).append(message)
+            await message
--- a/packages/fescuequay-emulator/fescuequay_emulator/peers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/peers.py
@@ -8,7 +8,7 @@
 
 from fescuequay_core.types import InstanceId, Role, ServiceId, TargetId
 from fescuequay_emulator.checker import PromotionRequest
-from fescuequay_emulator.table import TABLE_NODE
+from fescuequay_entry.relay.authority import Authority, AuthorityEnded, run_within
 from fescuequay_entry.relay.instance import Instance
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
@@ -35,6 +35,9 @@
 
 Answer = TypeVar('Answer')
 
+#: Node of the promoter in the network.
+PROMOTER_NODE: Final = 'promoter'
+
 #: Size of the HTTP headers of a request and its answer, as the real client and listener write them.
 _HEADER_BYTES: Final = 330
 
@@ -131,15 +134,30 @@
         self._world = world
         self._caller = caller
 
-    async def promote(self, service: ServiceId, target: TargetId, holder: InstanceId, token: int) -> PromoteResult:
+    async def promote(
+        self, service: ServiceId, target: TargetId, holder: InstanceId, token: int, authority: Authority
+    ) -> PromoteResult:
         """Promote a target to primary of the next term.
 
-        :returns: Whether the promotion was accepted; unknown when the promoter was not reached within a second.
+        :returns: Whether the promotion was accepted; unknown when the promoter was not reached in time.
         """
+        if authority.left_s() <= 0:
+            return PromoteResult.NOT_SENT
         try:
-            await asyncio.wait_for(self._world.network.transmit(self._caller, TABLE_NODE), 1.0)
-        except (TimeoutError, ConnectionRefusedError):
+            return await run_within(authority, self._send(service, target, holder, token, authority.left_s()))
+        except (AuthorityEnded, TimeoutError, ConnectionRefusedError):
             return PromoteResult.UNKNOWN
+
+    async def _send(
+        self, service: ServiceId, target: TargetId, holder: InstanceId, token: int, kept_s: float
+    ) -> PromoteResult:
+        """Send a request; the kernel keeps what is not acknowledged for ``kept_s``, also for a frozen process."""
+        self._world.announce_promotion(self._caller)
+        request = asyncio.wait_for(self._deliver(service, target, holder, token), kept_s)
+        return await self._world.spawn_as('network', lambda: request)
+
+    async def _deliver(self, service: ServiceId, target: TargetId, holder: InstanceId, token: int) -> PromoteResult:
+        await self._world.network.transmit(self._caller, PROMOTER_NODE)
         self._world.checker.promotion_requests.append(PromotionRequest(self._world.loop.time(), holder, token, target))
         found = self._world.targets.get(target)
         if found is None or not found.is_alive:
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -12,8 +12,10 @@
 from fescuequay_core import jsonc
 from fescuequay_core.types import Role
 from fescuequay_emulator.checker import Violation
+from fescuequay_emulator.late_delivery import HoldEnd, hold_next_promotion
 from fescuequay_emulator.load import Load
 from fescuequay_emulator.network import CutMode
+from fescuequay_emulator.peers import PROMOTER_NODE
 from fescuequay_emulator.table import TABLE_NODE, StoreFaults
 from fescuequay_emulator.world import DATA_CENTRES, Plan, World
 
@@ -229,10 +231,10 @@
 
 
 async def _cut_instance(world: World, fault: Fault) -> None:
-    """Cut an instance off from the table; from its peers if ``how`` is ``peers``; from both if it is ``all``."""
+    """Cut an instance off from table and promoter; from its peers if ``how`` is ``peers``, from all if ``all``."""
     name = _instance(world, fault)
     others = [other for other in world.instances if other != name] if fault.how in {'all', 'peers'} else []
-    nodes = others if fault.how == 'peers' else [TABLE_NODE, *others]
+    nodes = others if fault.how == 'peers' else [TABLE_NODE, PROMOTER_NODE, *others]
     await _cut_pairs(world, [(name, node) for node in nodes], fault)
 
 
@@ -286,6 +288,10 @@
         lift()
 
 
+async def _hold_promotion(world: World, fault: Fault) -> None:
+    await hold_next_promotion(world, f's{fault.on}', fault.for_s, HoldEnd(fault.how))
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -357,8 +363,11 @@
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
 
 #: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, operators
-#: evacuate a data centre, and connections to the table go silent.
+#: evacuate a data centre, connections to the table go silent, and a promotion's request is held up.
 DRILL_KIND: Final = 'restore'
 EVACUATION_KIND: Final = 'evacuate'
 SILENCE_KIND: Final = 'silence'
-_ACTIONS_BY_KIND.update({DRILL_KIND: _restore, EVACUATION_KIND: _evacuate, SILENCE_KIND: _silence})
+HOLD_KIND: Final = 'hold_promotion'
+_ACTIONS_BY_KIND.update(
+    {DRILL_KIND: _restore, EVACUATION_KIND: _evacuate, SILENCE_KIND: _silence, HOLD_KIND: _hold_promotion}
+)
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -6,7 +6,7 @@
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Final
+from typing import Final, TypeVar
 
 from fescuequay_core.relay.lease import SETTLE_AFTER_S
 from fescuequay_core.relay.model import (
@@ -35,7 +35,7 @@
 from fescuequay_emulator.connections import ModelDriver
 from fescuequay_emulator.hops import ModelHops, ModelLink
 from fescuequay_emulator.network import CutMode, Network
-from fescuequay_emulator.peers import ModelPeers, ModelPromoter
+from fescuequay_emulator.peers import PROMOTER_NODE, ModelPeers, ModelPromoter
 from fescuequay_emulator.table import TABLE_NODE, FeedEntries, ModelFeed, ModelTable, Store
 from fescuequay_emulator.targets import Commit, ModelTarget
 from fescuequay_emulator.virtual_loop import VirtualLoop, current_process
@@ -44,6 +44,8 @@
 from fescuequay_entry.relay.ports import OperatorEntry
 from fescuequay_entry.relay.settings import MachineLimits, RelaySettings
 
+Result = TypeVar('Result')
+
 DATA_CENTRES: Final = ('north', 'south', 'east', 'west')
 
 #: Time without heartbeats after which the registry removes a target, in seconds.
@@ -115,6 +117,9 @@
         self.rng = random.Random(seed)
         self.network = Network(self.rng)
         self.network.add(TABLE_NODE, DATA_CENTRES[-1])
+        self.network.add(PROMOTER_NODE, DATA_CENTRES[-1])
+        #: Instances that wait to hear of the next request for a promotion, which names its sender.
+        self._promotion_watchers: list[asyncio.Future[str]] = []
         self.store = Store(self.network, self.rng)
         self.operator_entries: FeedEntries[OperatorEntry] = FeedEntries(self.store)
         self.registry: FeedEntries[TargetDescription] = FeedEntries(self.store)
@@ -264,7 +269,20 @@
         self.spawn_as(name, instance.start)
         return instance
 
-    def spawn_as(self, name: str, step: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+    async def next_promotion(self) -> str:
+        """:returns: Name of the instance that next requests a promotion, as it sends the request."""
+        watcher: asyncio.Future[str] = self.loop.create_future()
+        self._promotion_watchers.append(watcher)
+        return await watcher
+
+    def announce_promotion(self, name: str) -> None:
+        """Announce that an instance sends a request for a promotion."""
+        watchers, self._promotion_watchers = self._promotion_watchers, []
+        for watcher in watchers:
+            if not watcher.done():
+                watcher.set_result(name)
+
+    def spawn_as(self, name: str, step: Callable[[], Awaitable[Result]]) -> asyncio.Task[Result]:
         """Run a step as a task of a simulated process."""
         context = contextvars.copy_context()
         context.run(current_process.set, name)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -117,7 +117,7 @@
         now = board.clock()
         record = board.lease.record
         if record is not None and record.token != self._lease_token:
-            self._begin_lease(record.token, now)
+            await self._begin_lease(record.token, now)
         if now - self._renewed_at >= RENEW_INTERVAL_S * _RENEWAL_DUE_SHARE:
             self._renewed_at = now
             await self._records.renew()
@@ -219,13 +219,19 @@
         buckets.extend_stocks(now)
         self._board.changes.on_next('tokens')
 
-    def stop(self) -> None:
-        """Cancel the replacements in progress; the next coordinator continues them."""
-        for task in self._replacements_by_service.values():
-            task.cancel()
+    async def stop(self) -> None:
+        """Cancel the replacements in progress; the next coordinator continues them.
+
+        When this returns, their calls have been given up for good, so that the lease may go to another instance.
+        """
+        replacements = set(self._replacements_by_service.values())
         self._replacements_by_service.clear()
+        for task in replacements:
+            task.cancel()
+        if replacements:
+            await asyncio.wait(replacements)
 
-    def _begin_lease(self, token: int, now: Instant) -> None:
+    async def _begin_lease(self, token: int, now: Instant) -> None:
         self._lease_token = token
         self._began_at = now
         # Taking the lease over required an unchanged row, so the previous holder had not renewed it since.
@@ -234,7 +240,7 @@
         self._confirmed_at = float('-inf')
         self._table_read_at = float('-inf')
         self._renewed_at = float('-inf')
-        self.stop()
+        await self.stop()
 
     def _grant(self, instance: InstanceId, token_request: TokenRequest, now: Instant) -> dict[str, tuple[int, float]]:
         configuration = self._board.configuration
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -8,6 +8,9 @@
 
 import httptools
 
+from fescuequay_entry.relay import tcp_options
+from fescuequay_entry.relay.authority import Authority, AuthorityEnded, run_within
+
 #: Idle time after which a kept connection is not used again, in seconds; shorter than that of the listeners.
 _KEEP_ALIVE_S: Final = 20.0
 
@@ -46,6 +49,8 @@
 
     def __init__(self) -> None:
         self.idle_since = 0.0
+        #: Whether the latest request was sent.
+        self.is_sent = False
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
         self._headers_by_name: dict[str, str] = {}
@@ -56,8 +61,9 @@
         self._response: asyncio.Future[Response] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Keep the transport. A request that was given up must not arrive later."""
         self._transport = transport  # type: ignore[assignment]
+        tcp_options.reset_at_close(transport)
 
     def data_received(self, received: bytes) -> None:
         """Parse a part of a response; bytes that belong to no request end the connection."""
@@ -91,16 +97,29 @@
         """:returns: Whether any byte of the latest response has arrived."""
         return self._has_response
 
-    async def send(self, message: bytes) -> Response:
-        """Send a request and wait for its response. :raises HttpError: There was no complete one."""
+    async def send(self, message: bytes, authority: Authority | None) -> Response:
+        """Send a request and wait for its response.
+
+        :param message: The request.
+        :param authority: Authority for the request; it is checked at the moment of sending.
+        :returns: The response.
+        :raises HttpError: There was no complete one.
+        """
         self._parser = httptools.HttpResponseParser(self)
         self._headers_by_name = {}
         self._body = []
         self._size = 0
         self._has_headers = self._has_response = False
+        self.is_sent = False
         self._response = asyncio.get_running_loop().create_future()
         if self._transport is None:
             raise HttpError('connection closed')
+        if authority is not None:
+            left_s = authority.left_s()
+            if left_s <= 0:
+                raise HttpError('the authority ended before the request was sent', is_unsent=True)
+            tcp_options.drop_unacknowledged_after(self._transport, left_s)
+        self.is_sent = True
         self._transport.write(message)
         return await self._response
 
@@ -147,7 +166,7 @@
         self._idle_by_address: dict[str, list[_Connection]] = {}
         self._swept_at = 0.0
 
-    async def request(
+    async def request(  # noqa: WPS211 -- the parts of a request
         self,
         method: str,
         address: str,
@@ -157,8 +176,9 @@
         body: bytes = b'',
         headers: Mapping[str, str] | None = None,
         is_fresh: bool = False,
+        authority: Authority | None = None,
     ) -> Response:
-        """Send a request. A connection whose request is cancelled, as by a time limit, is closed.
+        """Send a request. A connection whose request is cancelled, as by a time limit, is reset.
 
         :param method: HTTP method.
         :param address: ``host:port``.
@@ -167,6 +187,8 @@
         :param body: Body, as JSON.
         :param headers: Further headers.
         :param is_fresh: Whether to open a new connection, since one that was kept may have gone silent.
+        :param authority: Authority for a request that changes something. The request is sent only while it lasts, and
+            given up when it ends, at the latest as it stands at the moment of sending.
         :raises HttpError: There was no complete response.
         """
         target = f'{path}?{urlencode(query)}' if query else path
@@ -174,13 +196,13 @@
         connection = None if is_fresh else self._take_idle(address)
         if connection is not None:
             try:
-                return await self._send(connection, address, message)
+                return await self._send(connection, address, message, authority)
             except HttpError:
                 # The other end may close a kept connection at any time. Only a read is sent again, and only if
                 # nothing of the response has arrived.
                 if method != 'GET' or connection.has_response:
                     raise
-        return await self._send(await _connect(address), address, message)
+        return await self._send(await _connect_within(address, authority), address, message, authority)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -189,9 +211,23 @@
                 connection.close()
         self._idle_by_address.clear()
 
-    async def _send(self, connection: _Connection, address: str, message: bytes) -> Response:
+    async def _send(
+        self, connection: _Connection, address: str, message: bytes, authority: Authority | None
+    ) -> Response:
+        if authority is None:
+            return await self._exchange(connection, address, message, None)
+        connection.is_sent = False
         try:
-            response = await connection.send(message)
+            return await run_within(authority, self._exchange(connection, address, message, authority))
+        except AuthorityEnded:
+            connection.close()
+            raise HttpError('no response while the authority lasted', is_unsent=not connection.is_sent) from None
+
+    async def _exchange(
+        self, connection: _Connection, address: str, message: bytes, authority: Authority | None
+    ) -> Response:
+        try:
+            response = await connection.send(message, authority)
         except asyncio.CancelledError:
             connection.close()
             # What silenced this connection may have silenced those that were kept; a new one shows whether the other
@@ -240,6 +276,16 @@
         return None
 
 
+async def _connect_within(address: str, authority: Authority | None) -> _Connection:
+    """Connect for as long as the authority for the request lasts. :raises HttpError: There is no connection."""
+    if authority is None:
+        return await _connect(address)
+    try:
+        return await run_within(authority, _connect(address))
+    except AuthorityEnded:
+        raise HttpError('the authority ended before a connection was open', is_unsent=True) from None
+
+
 async def _connect(address: str) -> _Connection:
     host, _, port = address.rpartition(':')
     try:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/membership.py
@@ -146,7 +146,7 @@
 
     async def release_lease(self) -> None:
         """Release the coordinator lease at a planned stop."""
-        self._coordinator.stop()
+        await self._coordinator.stop()
         await self._try_before_stop('duty', self._records.release_lease())
 
     async def leave(self) -> None:
@@ -270,18 +270,19 @@
             self._urgent.set()
             raise
         except TableError:
-            self._consider_resigning()
+            await self._consider_resigning()
             raise
         finally:
             if self._board.lease.holds(self._board.clock()):
                 self._supply.grant_to_self()
 
-    def _consider_resigning(self) -> None:
+    async def _consider_resigning(self) -> None:
         """Resign as coordinator and inform the peers, if the table has not answered this instance for long enough."""
         if not self._board.lease.resign(self._board.clock()):
             return
         log_event('duty_resigned', token=self._board.lease.token)
-        self._coordinator.stop()
+        # Another instance may take the lease over as soon as it hears of this.
+        await self._coordinator.stop()
         for member in self._others():
             self._news.send(member.address, News(resigned=self._board.lease.token))
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -19,6 +19,7 @@
 )
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.types import Era, InstanceId, OrganisationId, RequestId, ServiceId, TargetId, Term
+from fescuequay_entry.relay.authority import Authority
 from fescuequay_entry.relay.messages import (
     CloseAnswer,
     CloseRequest,
@@ -172,19 +173,25 @@
     ACCEPTED = 'accepted'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
+    NOT_SENT = 'not_sent'
 
 
 class Promoter(abc.ABC):
     """Promotes a target to primary of its service."""
 
     @abc.abstractmethod
-    async def promote(self, service: ServiceId, target: TargetId, holder: InstanceId, token: int) -> PromoteResult:
+    async def promote(
+        self, service: ServiceId, target: TargetId, holder: InstanceId, token: int, authority: Authority
+    ) -> PromoteResult:
         """Request that a target becomes the primary of the next term.
 
+        The request must not take effect when it has been given up, nor after the process has ended.
+
         :param service: Its service.
         :param target: The target.
         :param holder: Coordinator that asks.
         :param token: Fencing token of the coordinator lease; grows whenever the holder changes.
+        :param authority: Until when the coordinator may ask; the request is given up when it ends.
         :returns: Accepted also if the target is the primary already; refused if it is not running.
         """
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -14,6 +14,7 @@
 )
 from fescuequay_core.relay.permits import PERMIT_MARGIN_S, PERMIT_S
 from fescuequay_core.types import Instant, LeaderState, Role, ServiceId, TargetId, Term
+from fescuequay_entry.relay.authority import LeaseAuthority
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
 from fescuequay_entry.relay.messages import CloseRequest, News
@@ -38,6 +39,9 @@
 #: Time for which several replicas are asked before those that do not answer are left out, in seconds.
 _REPORTS_TIMEOUT_S: Final = 0.6
 
+#: Time until a promotion without an answer is requested again, beyond that in which it takes effect, in seconds.
+_UNANSWERED_PAUSE_S: Final = 0.2
+
 #: Time after an accepted promotion within which the target must lead, in seconds. After that it is requested again.
 _PROMOTION_TIMEOUT_S: Final = 3.0
 
@@ -348,7 +352,13 @@
             lease_left_s=round(lease.left_s(token, began_at), 3),
             others=','.join(f'{name}:{report.position}' for name, (_, report) in reports.items()),
         )
-        answer = await self._promoter.promote(closing.service, candidate.target.target, self._board.own.instance, token)
+        answer = await self._promoter.promote(
+            closing.service,
+            candidate.target.target,
+            self._board.own.instance,
+            token,
+            LeaseAuthority(self._board, token),
+        )
         log_event(
             'promote_answered',
             service=closing.service,
@@ -364,9 +374,7 @@
             )
             await asyncio.sleep(_RETRY_PAUSE_S)
             return None
-        deadline = self._board.clock() + (
-            _PROMOTION_TIMEOUT_S if answer is PromoteResult.ACCEPTED else _RETRY_PAUSE_S * 4
-        )
+        deadline = self._effect_deadline(answer, began_at)
         while self._board.clock() < deadline:
             report = await self._controls.status(candidate.target)
             if report is not None and report.role is Role.PRIMARY and report.term > closing.term:
@@ -376,6 +384,15 @@
             await asyncio.sleep(_RETRY_PAUSE_S / 2)
         return None
 
+    def _effect_deadline(self, answer: PromoteResult, began_at: Instant) -> Instant:
+        """:returns: When a promotion that was requested has taken effect, or will not do so."""
+        now = self._board.clock()
+        if answer is PromoteResult.ACCEPTED:
+            return now + _PROMOTION_TIMEOUT_S
+        if answer is PromoteResult.NOT_SENT:
+            return now + _UNANSWERED_PAUSE_S
+        return max(now, began_at + settlement.PROMOTION_EFFECT_S) + _UNANSWERED_PAUSE_S
+
     async def _publish(self, closing: LeaderRecord, leading: tuple[TargetId, TargetReport], cause: str) -> None:
         target, report = leading
         await self._write(
