Take no position from a primary that may have been replaced before it was asked

A primary had been cut off from its replicas and the registry and was replaced; transactions that stayed open on it went on reading, and the reads went to a replica that received nothing.

Cause: each answer in a transaction was recorded as the position of the primary at the time of its sending, under the record with which the transaction began, also when that record was no longer in force. Such a sample says "what was acknowledged until now is up to here", which only the present primary can say. The coordinator took these samples for a reason not to ask the new primary, so that no instance got a sample of the new term to end this.

Change: a position counts only if this instance held a permit under the same record when the statement was sent (`Permits.was_in_force`); the probe of the coordinator uses the same check. Otherwise one line `position_ignored` says under which record it came and how old the permit was. Only a recent position of the present term is a reason not to ask the primary. The emulator gets the fault `replace_under_transactions` and services without ordinary load.

Why it works: a promoter waits for every permit to end, so while one is valid nobody else acknowledges commits. A sample dated then stays true after a replacement, which is why samples of an earlier term may still be used until they are older than the read accepts.

--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -11,8 +11,10 @@
 from fescuequay_core.relay.evacuation import Evacuations
 from fescuequay_core.relay.freshness import RequiredPosition, Samples
 from fescuequay_core.relay.lease import CoordinatorLease
+from fescuequay_core.relay.permits import Permits
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_entry.relay.authority import LeaseAuthority
+from fescuequay_entry.relay.coordinator import Coordinator
 from fescuequay_entry.relay.pool import PooledConnection
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
@@ -85,6 +87,20 @@
         raise
 
 
+@contextlib.contextmanager
+def _ignore_terms() -> Iterator[None]:
+    needs_probe = Coordinator._needs_probe
+
+    def needs_probe_of_any_term(self: Coordinator, record: Any, target: Any) -> bool:
+        newest = self._board.samples.newest(record.service)
+        term = record.term if newest is None else newest[0]
+        return needs_probe(self, dataclasses.replace(record, term=term), target)
+
+    patch = mock.patch.object
+    with patch(Permits, 'was_in_force', lambda *_: True), patch(Coordinator, '_needs_probe', needs_probe_of_any_term):
+        yield
+
+
 def _patches(guard: str) -> Any:
     originals = {'required': Samples.required_position, 'admit': Session._admit, 'write': StatementRunner._write_once}
     patch = mock.patch.object
@@ -95,6 +111,8 @@
         'the doubt about records of an earlier era': lambda: patch(
             settlement, 'settle', _settle_as_known(settlement.settle)
         ),
+        'the check that a primary led when it was asked': lambda: patch(Permits, 'was_in_force', lambda *_: True),
+        'that check and the probe of a primary of a new term': _ignore_terms,
         'the end of a promotion with its lease': lambda: patch(LeaseAuthority, 'left_s', lambda _: _PROMOTION_LIMIT_S),
         'the wait before a new era is settled': lambda: patch(CoordinatorLease, 'settles_at', lambda _: float('-inf')),
         'the order of tokens across eras': lambda: patch(eras, 'next_token', lambda known, _: known + 1),
--- a/packages/fescuequay-core/fescuequay_core/relay/freshness.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/freshness.py
@@ -19,7 +19,10 @@
 class Sample:
     """Position that a primary had reached.
 
-    :param at: Time by which it had certainly reached the position: when it was asked.
+    It stays true when the primary is replaced: what was acknowledged before ``at`` is up to the position in the log of
+    any later primary, or was rolled back.
+
+    :param at: Time by which it had certainly reached the position: when it was asked, under a permit valid then.
     :param position: The position; it contains every commit that was acknowledged before ``at``.
     """
 
@@ -56,7 +59,8 @@
 
         :param service: The service.
         :param term: Term of the leader record under whose permit the primary was asked.
-        :param sample: Its position; the caller held a permit when it asked.
+        :param sample: Its position. The caller has checked that the permit was valid when it asked: a transaction that
+            is still open on a replaced primary tells nothing of what its successor has acknowledged.
         """
         known = self._terms_by_service.get(service)
         if known is not None and term < known or sample.position.term > term:
--- a/packages/fescuequay-core/fescuequay_core/relay/permits.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/permits.py
@@ -77,6 +77,18 @@
             return None
         return permit.record if now - permit.confirmed_at < PERMIT_S else None
 
+    def was_in_force(self, record: LeaderRecord, at: Instant) -> bool:
+        """Check whether this instance held a permit under a record at a past time, so that nobody else led then.
+
+        :param record: The record under which the primary was used.
+        :param at: That time. A later confirmation of the same record proves that it was in force before, too.
+        :returns: Whether that is certain.
+        """
+        permit = self._permits_by_service.get(record.service)
+        if permit is None or permit.record.version != record.version or record.state is not LeaderState.LEADING:
+            return False
+        return at - permit.confirmed_at < PERMIT_S
+
     def record(self, service: ServiceId) -> LeaderRecord | None:
         """:returns: The newest known record, whether or not it may be acted on."""
         permit = self._permits_by_service.get(service)
@@ -110,6 +122,11 @@
             return () if self._permits_by_service else None
         return None if difference.is_whole or difference.removed else difference.changed
 
+    def age_s(self, service: ServiceId, now: Instant) -> float:
+        """:returns: Age of the latest confirmation of a service's record; infinite when none is known."""
+        permit = self._permits_by_service.get(service)
+        return float('inf') if permit is None else now - permit.confirmed_at
+
     def oldest_age_s(self, now: Instant) -> float:
         """:returns: Age of the oldest confirmation; infinite when nothing is known."""
         ages = [now - permit.confirmed_at for permit in self._permits_by_service.values()]
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -15,6 +15,7 @@
 from fescuequay_emulator.late_delivery import HoldEnd, hold_next_promotion
 from fescuequay_emulator.load import Load
 from fescuequay_emulator.network import CutMode
+from fescuequay_emulator.open_transactions import TransactionsOnReplacedPrimary
 from fescuequay_emulator.peers import PROMOTER_NODE
 from fescuequay_emulator.table import TABLE_NODE, StoreFaults
 from fescuequay_emulator.world import DATA_CENTRES, Plan, World
@@ -292,6 +293,11 @@
     await hold_next_promotion(world, f's{fault.on}', fault.for_s, HoldEnd(fault.how))
 
 
+async def _replace_under_transactions(world: World, fault: Fault) -> None:
+    event = TransactionsOnReplacedPrimary(world, world.plan.services_by_number()[-1])
+    await (event.cut_off_reader(fault.for_s) if fault.how == 'cut' else event.run(fault.for_s))
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -363,11 +369,19 @@
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
 
 #: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, operators
-#: evacuate a data centre, connections to the table go silent, and a promotion's request is held up.
+#: evacuate a data centre, connections to the table go silent, a promotion's request is held up, and transactions stay
+#: open on a primary that is replaced.
 DRILL_KIND: Final = 'restore'
 EVACUATION_KIND: Final = 'evacuate'
 SILENCE_KIND: Final = 'silence'
 HOLD_KIND: Final = 'hold_promotion'
+TRANSACTIONS_KIND: Final = 'replace_under_transactions'
 _ACTIONS_BY_KIND.update(
-    {DRILL_KIND: _restore, EVACUATION_KIND: _evacuate, SILENCE_KIND: _silence, HOLD_KIND: _hold_promotion}
+    {
+        DRILL_KIND: _restore,
+        EVACUATION_KIND: _evacuate,
+        SILENCE_KIND: _silence,
+        HOLD_KIND: _hold_promotion,
+        TRANSACTIONS_KIND: _replace_under_transactions,
+    }
 )
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -86,6 +86,7 @@
     :param burst: Burst of each organisation.
     :param counts_bytes: Whether the messages between instances and their bytes are counted.
     :param cores: What each instance can bear as a gateway, in cores; 0 if none is used.
+    :param idle_services: Number of further services, which the ordinary load leaves alone.
     """
 
     instances: int = 5
@@ -100,6 +101,11 @@
     burst: float = 40.0
     counts_bytes: bool = False
     cores: float = 0.0
+    idle_services: int = 0
+
+    def services_by_number(self) -> range:
+        """:returns: Numbers of all services; the idle ones are the last."""
+        return range(self.services + self.idle_services)
 
 
 class World:
@@ -161,7 +167,7 @@
             asyncio.ensure_future(self._watch_permit_holders()),
             asyncio.ensure_future(self.store.keep_copies()),
         ]
-        for service in range(self.plan.services):
+        for service in self.plan.services_by_number():
             self._add_service(ServiceId(f's{service}'))
         for number in range(self.plan.instances):
             self.start_instance(f'n{number}', DATA_CENTRES[number % len(DATA_CENTRES)])
@@ -182,7 +188,7 @@
         """:returns: A configuration with a route of every kind for each service, and one key per organisation."""
         plan = self.plan
         routes: dict[str, Route] = {}
-        for number in range(plan.services):
+        for number in plan.services_by_number():
             for consistency in Consistency:
                 database = DatabaseName(f'{consistency.value}-{number}')
                 staleness_s = {Consistency.PRIMARY: 0.0, Consistency.BOUNDED: 1.5}.get(consistency, 2.5)
@@ -196,7 +202,7 @@
             routes,
             {
                 f's{number}': ServicePolicy(ServiceId(f's{number}'), plan.max_connections, 0)
-                for number in range(plan.services)
+                for number in plan.services_by_number()
             },
             {name: OrganisationPolicy(name, plan.rate_per_s, plan.burst) for name in names},
             {f'key-{name}': name for name in names},
@@ -390,6 +396,24 @@
         target.restart()
         self._publish_description(target, role=target.role)
 
+    async def isolate(self, target: ModelTarget, for_s: float) -> None:
+        """Cut a target off from its replicas and from the registry, where its entry expires; callers still reach it.
+
+        When that ends, it follows a later primary.
+        """
+        others = [other.name for other in target.other_targets]
+        for other in others:
+            self.network.cut(target.name, other)
+        await asyncio.sleep(min(_REGISTRY_EXPIRY_S, for_s))
+        if for_s > _REGISTRY_EXPIRY_S:
+            self.registry.remove(target.name)
+            await asyncio.sleep(for_s - _REGISTRY_EXPIRY_S)
+        for other in others:
+            self.network.heal(target.name, other)
+        if any(other.role is Role.PRIMARY and other.term > target.term for other in target.other_targets):
+            target.become_replica()
+        self._publish_description(target, role=target.role)
+
     def drain(self, target: ModelTarget) -> None:
         """Mark a target as draining in the registry."""
         self._publish_description(target, role=target.role, is_draining=True)
@@ -441,7 +465,7 @@
                     self._record_violation(now, f'{name} may use a primary and is not in the table')
 
     def _services(self) -> tuple[ServiceId, ...]:
-        return tuple(ServiceId(f's{number}') for number in range(self.plan.services))
+        return tuple(ServiceId(f's{number}') for number in self.plan.services_by_number())
 
     def _add_service(self, service: ServiceId) -> None:
         members = []
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -399,7 +399,8 @@
     def _needs_probe(self, record: LeaderRecord, target: TargetDescription) -> bool:
         """:returns: Whether this instance's own traffic has not shown recently that the primary is healthy."""
         newest = self._board.samples.newest(record.service)
-        is_fresh = newest is not None and self._board.clock() - newest[1].at < _FRESH_POSITION_S
+        is_of_term = newest is not None and newest[0] == record.term
+        is_fresh = newest is not None and is_of_term and self._board.clock() - newest[1].at < _FRESH_POSITION_S
         return not is_fresh or self._board.health_of(target).failing_since is not None
 
     async def _probe(self, record: LeaderRecord, target: TargetDescription) -> None:
@@ -412,7 +413,7 @@
         if report is None or self._board.permits.record(record.service) != record:
             return
         if report.role is Role.PRIMARY and report.term == record.term:
-            if self._board.permits.leader(record.service, sent_at) is not None:
+            if self._board.permits.was_in_force(record, sent_at):
                 self._board.samples.record(record.service, record.term, Sample(sent_at, report.position))
         elif report.term >= record.term and self._board.clock() > self._roles_ignored_until.get(record.service, 0):
             log_event('primary_deposed', service=record.service, target=target.target, term=report.term)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -6,7 +6,14 @@
 
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.freshness import Sample
-from fescuequay_core.relay.model import Consistency, SessionState, Statement, StatementKind, TargetDescription
+from fescuequay_core.relay.model import (
+    Consistency,
+    LeaderRecord,
+    SessionState,
+    Statement,
+    StatementKind,
+    TargetDescription,
+)
 from fescuequay_core.relay.repeats import RepeatBudgets
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.types import Instant, RequestId, TargetId, Verdict
@@ -131,7 +138,7 @@
             raise
         finally:
             health.in_flight -= 1
-        self._record_outcome(placement, sent_at, outcome)
+        self._record_outcome(placement, sent_at, outcome, request)
         return outcome
 
     def has_valid_permit(self, placement: Placement) -> bool:
@@ -454,15 +461,31 @@
     def _are_all_tried(self, operation: Operation, tried: set[TargetId]) -> bool:
         return all(target.target in tried for target, _ in self._board.read_targets_of(operation.route.service))
 
-    def _record_outcome(self, placement: Placement, sent_at: Instant, outcome: Outcome) -> None:
+    def _record_outcome(self, placement: Placement, sent_at: Instant, outcome: Outcome, request: RequestId) -> None:
         now = self._board.clock()
         health = self._board.health_of(placement.pooled.target)
         is_fault = outcome.fault is not None and outcome.fault.reason.kind is RefusalKind.FAILED
         has_run = outcome.fault is None or is_fault
         health.record_answer(now, took_s=now - sent_at if has_run else None, is_fault=is_fault)
         if placement.record is not None and outcome.position is not None:
-            sample = Sample(sent_at, outcome.position)
-            self._board.samples.record(placement.record.service, placement.record.term, sample)
+            self._record_position(placement, placement.record, Sample(sent_at, outcome.position), request)
+
+    def _record_position(self, placement: Placement, record: LeaderRecord, sample: Sample, request: RequestId) -> None:
+        """Record the position of a primary, unless it may have been replaced before the statement was sent."""
+        permits = self._board.permits
+        if permits.was_in_force(record, sample.at):
+            self._board.samples.record(record.service, record.term, sample)
+            return
+        present = permits.record(record.service)
+        log_event(
+            'position_ignored',
+            request=request,
+            target=placement.pooled.target.target,
+            term=record.term,
+            version=record.version,
+            leader_version=present.version if present is not None else '-',
+            permit_age_s=round(permits.age_s(record.service, sample.at), 3),
+        )
 
     def _record_lost(self, placement: Placement, sent_at: Instant, error: Exception, request: RequestId) -> None:
         now = self._board.clock()
