Let no demotion, statement or gateway frame arrive after it was given up

What callers could see: a write whose caller was told that its outcome is unknown ran seconds later, when a partition ended that had held it up; a former coordinator's demotion or PAUSE arrived late. A replica that gets a late PAUSE of its present term receives nothing from then on, and a late DEMOTE takes a primary out that was kept.

DEMOTE and PAUSE carry the authority of the lease: checked as they are sent, given up when it ends, and told as `control_given_up`. The answering ends (callers, HTTP listeners, accepted streams) still close with a FIN, since an answer that is ready is delivered, also when late.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -12,6 +12,15 @@
       | a request        | is given up after its time limit |
       | a promotion      | outlasts its lease               |
       | a promotion      | is sent by a process that is killed |
+      | a statement      | is given up after its time limit |
+      | a demotion       | outlasts its lease               |
+      | a frame for a gateway | is given up as its stream is closed |
+
+  # Guards against a demotion by an instance that does not hold the lease any more.
+  Scenario: The lease ends while a demotion waits for a connection
+    Given an end behind a link
+    When a demotion is requested under a lease that has ended
+    Then the demotion has no answer, and the end gets nothing
 
   # Guards against a promotion that is sent under a lease which ended while its connection was opened.
   Scenario: The lease ends while the connection for a promotion is opened
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -1,6 +1,7 @@
 """Steps in which a link holds the bytes of a call that is then given up."""
 
 import asyncio
+import dataclasses
 import sys
 import textwrap
 from collections.abc import Awaitable, Callable
@@ -8,13 +9,22 @@
 
 from behave import given, then, when
 
+from features.gateway_builders import ask, target
 from features.soak.databases import HOST
 from features.soak.platform import Proxy
-from fescuequay_core.types import InstanceId, ServiceId, TargetId
+from fescuequay_core.relay.model import TargetDescription
+from fescuequay_core.types import InstanceId, OrganisationId, RequestId, ServiceId, TargetId, Term
+from fescuequay_emulator.load import write
 from fescuequay_emulator.scenarios import HOLD_KIND, Fault, Scenario, run_scenario
 from fescuequay_entry.relay.authority import Authority
+from fescuequay_entry.relay.board import Board, InstanceIdentity
+from fescuequay_entry.relay.control_connections import ControlConnections
+from fescuequay_entry.relay.hop_frames import Frame
+from fescuequay_entry.relay.hop_tcp import TcpHops
+from fescuequay_entry.relay.hops import HopReceiver
 from fescuequay_entry.relay.http_client import HttpClient
 from fescuequay_entry.relay.ports import PromoteResult
+from fescuequay_platform.connections import LineDriver
 from fescuequay_platform.store import PlatformPromoter
 
 #: Time until bytes have reached the other end of a connection on loopback, in seconds.
@@ -25,6 +35,10 @@
 
 _TOKEN: Final = 3
 
+#: Answers of the end to the first messages of a connection of the line protocol.
+_ANSWERS_BY_WORD: Final = {b'START': b'READY I 1.0\r\n'}
+_STATUS: Final = b'ROW primary 1 1.0 0 0 0 1\r\nDONE -\r\nREADY I 1.0\r\n'
+
 _PROMOTING_PROCESS: Final = """
     import asyncio, sys
     from features.steps.late_call_steps import SteadyAuthority, promote
@@ -70,12 +84,27 @@
     return await promoter.promote(ServiceId('s'), TargetId('t'), InstanceId('n'), _TOKEN, authority)
 
 
+class _NoReceiver(HopReceiver):
+    """Handles nothing."""
+
+    def receive(self, frame: Frame) -> None:
+        """Ignore a frame."""
+
+    def end(self, detail: str) -> None:
+        """Ignore the end."""
+
+
 class HeldEnd:
     """An end that records what arrives, behind a link."""
 
     def __init__(self) -> None:
         self.received = b''
 
+    def hold(self) -> None:
+        """Let the link hold what it gets from now on; what came before is not of interest."""
+        self.link.mode = 'silent'
+        self.received = b''
+
     async def run(self, step: Callable[['HeldEnd'], Awaitable[Any]]) -> Any:
         """Run a step while the end and the link listen."""
         server = await asyncio.start_server(self._serve, HOST, 0)
@@ -98,6 +127,9 @@
         try:
             while chunk := await reader.read(4096):
                 self.received += chunk
+                for line in chunk.split(b'\r\n'):
+                    writer.write(_ANSWERS_BY_WORD.get(line.partition(b' ')[0], b''))
+                    writer.write(_STATUS if line.endswith(b'STATUS') else b'')
         except ConnectionError:
             return
         finally:
@@ -105,14 +137,49 @@
 
 
 async def _give_up_request(end: HeldEnd) -> None:
+    end.hold()
     await _expect_timeout(HttpClient().request('POST', end.address, '/x'))
 
 
 async def _outlast_lease(end: HeldEnd) -> None:
+    end.hold()
     assert await promote(end.address, SteadyAuthority(_LIMIT_S)) is PromoteResult.UNKNOWN
 
 
+async def _give_up_statement(end: HeldEnd) -> None:
+    connection = await LineDriver().connect(_target(end), OrganisationId('o'))
+    end.hold()
+    await _expect_timeout(connection.execute(RequestId('q1'), write(1, 'v')))
+
+
+async def _outlast_lease_of_demotion(end: HeldEnd) -> None:
+    controls = await _open_controls(end)
+    end.hold()
+    assert await controls.demote(_target(end), Term(2), SteadyAuthority(_LIMIT_S)) is None
+
+
+async def _close_stream(end: HeldEnd) -> None:
+    link = await TcpHops(HOST, 0).connect(end.address, _NoReceiver())
+    end.hold()
+    link.send(ask())
+    await asyncio.sleep(_ARRIVAL_S)
+    link.close()
+
+
+async def _open_controls(end: HeldEnd) -> ControlConnections:
+    """:returns: Control connections, of which one to the end is open."""
+    board = Board(InstanceIdentity(InstanceId('a'), 'a1', 'north', 'a:1'), asyncio.get_running_loop().time)
+    controls = ControlConnections(board, LineDriver())
+    assert await controls.status(_target(end)) is not None
+    return controls
+
+
+def _target(end: HeldEnd) -> TargetDescription:
+    return dataclasses.replace(target('t', 'north'), address=end.address)
+
+
 async def _kill_sender(end: HeldEnd) -> None:
+    end.hold()
     process = await asyncio.create_subprocess_exec(
         sys.executable, '-c', textwrap.dedent(_PROMOTING_PROCESS), end.address
     )
@@ -134,6 +201,9 @@
     ('a request', 'is given up after its time limit'): _give_up_request,
     ('a promotion', 'outlasts its lease'): _outlast_lease,
     ('a promotion', 'is sent by a process that is killed'): _kill_sender,
+    ('a statement', 'is given up after its time limit'): _give_up_statement,
+    ('a demotion', 'outlasts its lease'): _outlast_lease_of_demotion,
+    ('a frame for a gateway', 'is given up as its stream is closed'): _close_stream,
 }
 
 
@@ -145,7 +215,6 @@
 @when('the link holds {what}, which {end}')
 def step_hold(context: Any, what: str, end: str) -> None:
     async def run(held: HeldEnd) -> None:
-        held.link.mode = 'silent'
         await _HELD_CALLS[what, end](held)
         context.held_bytes = held.link.held_bytes
         await held.deliver()
@@ -176,6 +245,24 @@
     assert not context.end.received, context.end.received
 
 
+@when('a demotion is requested under a lease that has ended')
+def step_late_demotion(context: Any) -> None:
+    async def run(held: HeldEnd) -> Any:
+        controls = await _open_controls(held)
+        held.received = b''
+        answer = await controls.demote(_target(held), Term(2), SteadyAuthority(1.0, 1.0, 0.0))
+        await asyncio.sleep(_ARRIVAL_S)
+        return answer
+
+    context.result = asyncio.run(context.end.run(run))
+
+
+@then('the demotion has no answer, and the end gets nothing')
+def step_no_demotion(context: Any) -> None:
+    assert context.result is None, context.result
+    assert not context.end.received, context.end.received
+
+
 @when('a promotion stays without an answer, and {what}')
 def step_unanswered(context: Any, what: str) -> None:
     async def run(held: HeldEnd) -> tuple[PromoteResult, float]:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/control_connections.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/control_connections.py
@@ -7,6 +7,7 @@
 from fescuequay_core.relay.model import TargetDescription, TargetReport
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.types import OrganisationId, TargetId, Term
+from fescuequay_entry.relay.authority import Authority, AuthorityEnded, run_within
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.ports import TargetConnection, TargetDriver, TargetLost
 
@@ -34,13 +35,19 @@
         """:returns: The target's status report; nothing if it does not answer."""
         return await self._call(target, lambda connection: connection.status())
 
-    async def demote(self, target: TargetDescription, term: Term) -> TargetReport | None:
-        """Demote a target, on behalf of a later term. :returns: Its status afterwards; nothing without an answer."""
-        return await self._call(target, lambda connection: connection.demote(term))
+    async def demote(self, target: TargetDescription, term: Term, authority: Authority) -> TargetReport | None:
+        """Demote a target, on behalf of a later term, while an authority lasts.
 
-    async def hold(self, target: TargetDescription, term: Term) -> TargetReport | None:
-        """Stop a replica from receiving. :returns: Its status afterwards; nothing without an answer."""
-        return await self._call(target, lambda connection: connection.hold(term))
+        :returns: Its status afterwards; nothing without an answer.
+        """
+        return await self._call(target, lambda connection: connection.demote(term), authority)
+
+    async def hold(self, target: TargetDescription, term: Term, authority: Authority) -> TargetReport | None:
+        """Stop a replica from receiving, while an authority lasts.
+
+        :returns: Its status afterwards; nothing without an answer.
+        """
+        return await self._call(target, lambda connection: connection.hold(term), authority)
 
     def close(self) -> None:
         """Close every connection."""
@@ -49,7 +56,10 @@
         self._connections.clear()
 
     async def _call(
-        self, target: TargetDescription, operation: Callable[[TargetConnection], Awaitable[TargetReport | None]]
+        self,
+        target: TargetDescription,
+        operation: Callable[[TargetConnection], Awaitable[TargetReport | None]],
+        authority: Authority | None = None,
     ) -> TargetReport | None:
         async with self._locks.setdefault(target.target, asyncio.Lock()):
             began_at = self._board.clock()
@@ -57,11 +67,15 @@
             try:
                 async with asyncio.timeout(_CONTROL_TIMEOUT_S):
                     connection = await self._connection(target)
-                    report = await operation(connection)
+                    report = await self._request(connection, operation, authority)
             except asyncio.CancelledError:
                 # The late answer to a cancelled request must not be taken for the answer to the next one.
                 self._close_connection(target)
                 raise
+            except AuthorityEnded:
+                self._close_connection(target)
+                log_event('control_given_up', target=target.target, waited_s=round(self._board.clock() - began_at, 3))
+                return None
             except (TimeoutError, TargetLost, Refused) as error:
                 self._close_connection(target)
                 is_refusal = isinstance(error, TargetLost) and error.is_refusal
@@ -77,6 +91,26 @@
             health.record_answer(self._board.clock())
             return report
 
+    async def _request(
+        self,
+        connection: TargetConnection,
+        operation: Callable[[TargetConnection], Awaitable[TargetReport | None]],
+        authority: Authority | None,
+    ) -> TargetReport | None:
+        """Make a request; one that changes something only while its authority lasts.
+
+        :raises AuthorityEnded: The authority ended first; the request may have arrived before.
+        """
+        if authority is None:
+            return await operation(connection)
+
+        async def request() -> TargetReport | None:
+            if authority.left_s() <= 0:
+                raise AuthorityEnded
+            return await operation(connection)
+
+        return await run_within(authority, request())
+
     async def _connection(self, target: TargetDescription) -> TargetConnection:
         known = self._connections.get(target.target)
         if known is not None and known[0] == target.born_ms and known[1].is_open:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/coordinator.py
@@ -13,6 +13,7 @@
 from fescuequay_core.relay.model import LeaderRecord, TargetDescription, TargetReport
 from fescuequay_core.relay.tokenpool import TokenPool, TokenRequest
 from fescuequay_core.types import InstanceId, Instant, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
+from fescuequay_entry.relay.authority import LeaseAuthority
 from fescuequay_entry.relay.board import OPERATOR_FEED, Board, log_event
 from fescuequay_entry.relay.control_connections import ControlConnections
 from fescuequay_entry.relay.followers import FEED_COUNT
@@ -441,7 +442,8 @@
         if report.term > record.term:
             self._start_replacement(record, 'superseded', is_planned=False)
             return
-        await self._controls.demote(target, Term(record.term))
+        authority = LeaseAuthority(self._board, self._board.lease.token)
+        await self._controls.demote(target, Term(record.term), authority)
         log_event('pretender_demoted', service=record.service, target=target.target, term=report.term)
 
     async def _write_first_record(self, service: ServiceId) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_tcp.py
@@ -1,9 +1,9 @@
 """Streams between instances over TCP."""
 
 import asyncio
-import socket
 from typing import Final
 
+from fescuequay_entry.relay import tcp_options
 from fescuequay_entry.relay.board import log_event
 from fescuequay_entry.relay.hop_frames import Frame, FrameDecoder, FrameError, encode
 from fescuequay_entry.relay.hops import HopAcceptor, HopLink, HopReceiver, Hops, HopUnreachable
@@ -11,14 +11,6 @@
 #: Backlog of the listening socket; all instances may connect at once.
 _LISTEN_BACKLOG: Final = 512
 
-#: Maximum time for which sent data may stay unacknowledged, in milliseconds.
-_TCP_USER_TIMEOUT_MS: Final = 3000
-
-#: TCP keepalive: idle time before the first probe and interval between probes, in seconds, and number of probes.
-_KEEPALIVE_IDLE_S: Final = 2
-_KEEPALIVE_INTERVAL_S: Final = 1
-_KEEPALIVE_PROBES: Final = 2
-
 
 class _StreamProtocol(asyncio.Protocol, HopLink):
     """One end of a stream.
@@ -39,13 +31,10 @@
         """Configure the socket and begin to handle frames."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101 -- streams only
         self._transport = transport
-        sock = transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp_options.detect_silence(transport)
+        if not self._is_answering:
+            # A statement that was given up must not reach the gateway later.
+            tcp_options.reset_at_close(transport)
         self._receiver = self._accept(self)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -254,7 +254,7 @@
         target = self._board.targets_by_id.get(closing.target)
         if target is None or self._board.health_of(target).is_refusing:
             return None
-        report = await self._controls.demote(target, Term(closing.term + 1))
+        report = await self._controls.demote(target, Term(closing.term + 1), self._authority())
         if report is None or report.role is not Role.REPLICA:
             log_event('demotion_failed', service=closing.service, target=closing.target, answered=report is not None)
             return None
@@ -289,8 +289,9 @@
         it reported its position would be missing from the comparison.
         """
         term = Term(closing.term + 1)
+        authority = self._authority()
         calls = [
-            self._controls.hold(candidate, term) if must_hold else self._controls.status(candidate)
+            self._controls.hold(candidate, term, authority) if must_hold else self._controls.status(candidate)
             for candidate in eligible
         ]
         answers = await asyncio.gather(*calls)
@@ -300,6 +301,10 @@
             if answer is not None
         }
 
+    def _authority(self) -> LeaseAuthority:
+        """:returns: Authority of the present holder of the lease; one that has ended if that is another instance."""
+        return LeaseAuthority(self._board, self._board.lease.token)
+
     def _is_leaving(self, target: TargetDescription) -> bool:
         return target.is_draining or self._board.evacuations.includes(target.data_centre)
 
@@ -357,7 +362,7 @@
             candidate.target.target,
             self._board.own.instance,
             token,
-            LeaseAuthority(self._board, token),
+            self._authority(),
         )
         log_event(
             'promote_answered',
