Count the attempts of a read that were sent, so that none hides another

What callers could see: an organisation gets a token back for a hedged read that ran, and so a little more than its rate.

Cause (suspected by the review, shown here): both attempts of a hedged read share one operation. An attempt that was lost before it was sent put the flag "was sent" back to what it had found, whatever the other attempt had done meanwhile.

Change: the operation counts the attempts that were sent; one that was not sent takes back only its own count.

Tests: features/verdicts.feature, 2 scenarios (lost before and after the other attempt is sent); on a copy of this tree with the flag both fail. verdicts (11) and decisions (60) pass.

--- a/features/steps/token_charge_steps.py
+++ b/features/steps/token_charge_steps.py
@@ -35,7 +35,7 @@
         self._is_sent = is_sent
 
     async def run_single(self, operation: Any, *_: Any) -> Any:
-        operation.is_sent = self._is_sent
+        operation.sent_attempts = int(self._is_sent)
         raise Refused(refusals.NO_TARGET, retry_after_s=0.2)
 
 
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -1,6 +1,7 @@
 """Steps that control where an operation is placed and how its statements end, in virtual time."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 from behave import given, then, when
@@ -144,3 +145,43 @@
 def step_stopping(context: Any) -> None:
     assert context.refusal is not None and context.refusal.reason is refusals.STOPPING, context.refusal
     assert context.refusal.retry_after_s is not None and not context.connection.sent
+
+
+class LostConnection(SlowConnection):
+    """Connection that is lost after a delay, before the statement is sent."""
+
+    async def execute(self, *_: Any, name: str | None, after: Any) -> Outcome:
+        await asyncio.sleep(self._after_s)
+        raise NotSent('reset')
+
+
+@given('two attempts of a read, of which one is lost before it is sent, {when} the other one is sent')
+def step_two_attempts(context: Any, when: str) -> None:
+    _create_board(context)
+    runner = StatementRunner(context.verdict_board, Pools(context.verdict_board, None))  # type: ignore[arg-type]
+    context.operation = Operation(ROUTE, OrganisationId('o'), 0.0, {}, None)
+    connections: list[Any] = [LostConnection(0.2), SlowConnection(0.1)]
+    if when == 'before':
+        connections = [LostConnection(0.05), SlowConnection(0.2)]
+
+    async def attempt(connection: Any) -> None:
+        pool: Any = None
+        placement = Placement(PooledConnection(connection, TARGET, context.operation.organisation, pool), None)
+        with contextlib.suppress(NotSent):
+            await runner.execute(context.operation, placement, RequestId('q'), read(1), None)
+
+    async def run() -> None:
+        await asyncio.gather(*map(attempt, connections))
+
+    context.attempts = run
+
+
+@when('both have ended')
+def step_both_ended(context: Any) -> None:
+    context.loop.run_until_complete(context.attempts())
+    context.loop.close()
+
+
+@then('the read counts as sent')
+def step_counts_as_sent(context: Any) -> None:
+    assert context.operation.is_sent
--- a/features/verdicts.feature
+++ b/features/verdicts.feature
@@ -29,3 +29,14 @@
       | read      | sent in time        | 0.1  | answered                        |
       | write     | sent too late       | -0.1 | refused as stopping and not run |
       | read      | sent too late       | -0.1 | refused as stopping and not run |
+
+  # Guards against a token that is returned although one of two hedged attempts ran.
+  Scenario Outline: Of two attempts of a read one is lost before it is sent, <when> the other one is sent
+    Given two attempts of a read, of which one is lost before it is sent, <when> the other one is sent
+    When both have ended
+    Then the read counts as sent
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
--- a/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/operation.py
@@ -26,7 +26,8 @@
     :param began_at: When it arrived; in a transaction, when its current statement arrived.
     :param values: Session values that must be set on the connection.
     :param position: Log position of the latest commit of the session.
-    :param is_sent: Whether a statement was sent to a target, which may have run it.
+    :param sent_attempts: Number of statements that were sent to a target, which may have run them; a hedged read has
+        several.
     :param opens_transaction: Whether it is a transaction.
     :param is_bound: Whether only the primary may run it.
     :param sent_to: Target whose connection it got last.
@@ -37,11 +38,16 @@
     began_at: Instant
     values: dict[str, str]
     position: LogPosition | None
-    is_sent: bool = False
+    sent_attempts: int = 0
     opens_transaction: bool = False
     is_bound: bool = False
     sent_to: TargetId | None = None
 
+    @property
+    def is_sent(self) -> bool:
+        """:returns: Whether a statement was sent to a target, which may have run it."""
+        return self.sent_attempts > 0
+
     @property
     def until(self) -> Instant:
         """:returns: When the time limit of its current statement ends."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -123,8 +123,7 @@
         sent_at = self._board.clock()
         limit_s = self._time_limit_s(operation, sent_at)
         pooled.note_limit(sent_at + limit_s)
-        was_sent = operation.is_sent
-        operation.is_sent = True
+        operation.sent_attempts += 1
         health.in_flight += 1
         try:
             outcome = await asyncio.wait_for(
@@ -133,7 +132,7 @@
             )
         except (TimeoutError, TargetLost) as error:
             if isinstance(error, NotSent):
-                operation.is_sent = was_sent
+                operation.sent_attempts -= 1
             self._record_lost(placement, sent_at, error, request)
             raise
         finally:
