--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -57,3 +57,8 @@
     Given a deployment whose coordinator is cut off as it requests a promotion, until successor
     When it is run on seeds 1 to 3 without the end of a promotion with its lease
     Then a guarantee was violated: one
+
+  # Guards against a hunt that cannot make these events.
+  Scenario: Every hunted schedule has a held promotion, and transactions on a primary that is replaced
+    When the schedules of seeds 1 to 20 are drawn for a hunt
+    Then each has both faults, and their variants all occur
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,10 +12,15 @@
       | ONE       | a success from a replaced primary                 |
       | ONE       | a promotion with an older token                   |
       | STALE     | a read that lacks an acknowledged write           |
+      | STALE     | a read of old data that lacks an older write      |
       | LOST      | a stop by SIGTERM that leaves a request unanswered |
       | ENDED     | an instance that ends by itself                   |
       | CONFIG    | a session refused for a route that was there      |
 
+  Scenario: Reads that accept old data need not return a recent write
+    When a read that accepts old data lacks a recent write
+    Then it is no violation
+
   Scenario: Reads need not return writes that a promotion rolled back
     When an acknowledged write is rolled back by a promotion
     Then a read that does not return it is no violation
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -1,6 +1,8 @@
 """Runs the soak test: ``python -m features.soak --seconds 60 --seed 3``; ``make soak`` chooses new seeds."""
 
 import asyncio
+import contextlib
+import functools
 import json
 import random
 import signal
@@ -11,7 +13,14 @@
 import click
 
 from features import odd_entries
-from features.soak.callers import ANSWER_TIMEOUT_S, Caller
+from features.soak.callers import (
+    ANSWER_TIMEOUT_S,
+    MAX_STALENESS_S,
+    TRANSACTION_PAUSE_S,
+    BoundedReader,
+    Caller,
+    TransactionHolder,
+)
 from features.soak.databases import HOST, Service
 from features.soak.history import History
 from features.soak.instances import Process, make_folder
@@ -28,6 +37,25 @@
 #: Time within which a route must be known everywhere, in seconds; the default of the settings.
 _APPLY_S: Final = 5.0
 
+#: Longest wait for a replacement to request its promotion, in seconds.
+_REPLACEMENT_S: Final = 8.0
+
+#: Time after which the entry of an isolated database expires, and for which it stays isolated after that, in seconds.
+_EXPIRY_S: Final = 3.0
+_ISOLATED_S: Final = 5.0
+
+#: Share of the held promotions that are delivered as soon as another one has arrived, and interval of that check in s.
+_UNTIL_NEXT_SHARE: Final = 0.5
+_CHECK_INTERVAL_S: Final = 0.005
+
+#: Number of transactions that stay open.
+_TRANSACTIONS: Final = 6
+
+#: Database of the route that accepts data of some age.
+_BOUNDED_HOST: Final = 'bounded'
+
+_MS_PER_S: Final = 1000
+
 #: Number of keys under which another writer leaves entries.
 _ODD_KEYS: Final = 8
 
@@ -37,7 +65,7 @@
 
 def _configuration(services: list[Service], version: int = 1) -> dict[str, Any]:
     """:returns: A configuration that has one route more, named after its version."""
-    routes = [
+    routes: list[dict[str, Any]] = [
         {
             'name': f'r-{host}',
             'host': host,
@@ -49,8 +77,10 @@
         for host, service in (
             *((service.name, service.name) for service in services),
             (f'added-{version}', services[0].name),
+            (_BOUNDED_HOST, services[-1].name),
         )
     ]
+    routes[-1].update(route_type='bounded_staleness', max_staleness_ms=int(MAX_STALENESS_S * _MS_PER_S))
     return {
         'version': version,
         'routes': routes,
@@ -77,7 +107,9 @@
         self._odd_rng = random.Random(f'odd {seed}')
         self._version = 1
         self._seconds = seconds
-        self._services = [Service('one', self.history), Service('two', self.history)]
+        self._late_rng = random.Random(f'late {seed}')
+        #: The last one has no callers but those of a replacement under open transactions.
+        self._services = [Service(name, self.history) for name in ('one', 'two', 'quiet')]
         self._platform = Platform(self._services)
         self._count = count
         self._processes: list[Process] = []
@@ -94,7 +126,14 @@
         try:
             tasks.extend(asyncio.ensure_future(caller.run()) for caller in self._callers())
             await asyncio.sleep(_FAULT_FREE_S)
-            await asyncio.gather(self._inject_faults(), self._inject_odd_events())
+            await self._replace_under_transactions()
+            await self._hold_promotion()
+            await asyncio.gather(
+                self._inject_faults(),
+                self._inject_odd_events(),
+                self._hold_promotion(),
+                self._replace_under_transactions(),
+            )
             await asyncio.sleep(_FAULT_FREE_S - _APPLY_S)
             await self._check_configuration()
         finally:
@@ -154,6 +193,62 @@
             event()
             await asyncio.sleep(self._odd_rng.uniform(*_FAULT_INTERVAL_S))
 
+    async def _hold_promotion(self) -> None:
+        """Hold the paths of an instance to the platform as it requests a promotion, and deliver everything later."""
+        seen: asyncio.Future[Process] = asyncio.get_running_loop().create_future()
+
+        def notice(process: Process, chunk: bytes) -> None:
+            if chunk.startswith(b'POST /promote') and not seen.done():
+                process.hold_paths(is_held=True)
+                seen.set_result(process)
+
+        for process in self._processes:
+            process.promoter_proxy.on_chunk = functools.partial(notice, process)
+        database = self._services[0].current_primary
+        database.is_silent = True
+        held_s, is_until_next = self._late_rng.uniform(3.0, 6.0), self._late_rng.random() < _UNTIL_NEXT_SHARE
+        until = 'the next one' if is_until_next else f'{held_s:.1f} s later'
+        self.faults.append(f'a promotion of {database.service.name} is held until {until}')
+        with contextlib.suppress(TimeoutError):
+            process = await asyncio.wait_for(seen, _REPLACEMENT_S)
+            count = self.history.promotion_count()
+            release_at = time.monotonic() + held_s
+            while time.monotonic() < release_at and not (is_until_next and self.history.promotion_count() > count):
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+            process.hold_paths(is_held=False)
+        database.is_silent = False
+        self._record_fault()
+
+    async def _replace_under_transactions(self) -> None:
+        """Isolate a primary on which transactions are open, while a replica receives nothing and reads go on."""
+        service = self._services[-1]
+        primary = service.current_primary
+        deaf = next(database for database in service.databases if database is not primary)
+        near = max(self._processes, key=lambda process: process.coordinates_since())
+        far = self._late_rng.choice([process for process in self._processes if process is not near])
+        arguments = (self.history, [near], self._late_rng)
+        writer = Caller(0, service.name, self.history, [far], self._late_rng)
+        reader = BoundedReader(1, _BOUNDED_HOST, *arguments)
+        reader.follow(writer.key)
+        holders = [TransactionHolder(number, service.name, *arguments) for number in range(2, 2 + _TRANSACTIONS)]
+        self.faults.append(f'{primary.name} is isolated under open transactions at {near.name}')
+        tasks = [asyncio.ensure_future(reader.run())]
+        for holder in holders:
+            tasks.append(asyncio.ensure_future(holder.run()))
+            # Their statements take turns, so that the position of their target is always recent.
+            await asyncio.sleep(TRANSACTION_PAUSE_S / _TRANSACTIONS)
+        primary.is_isolated = deaf.is_deaf = True
+        await asyncio.sleep(_EXPIRY_S)
+        self._platform.delete('servers', primary.name)
+        tasks.append(asyncio.ensure_future(writer.run()))
+        await asyncio.sleep(_ISOLATED_S)
+        primary.is_isolated = deaf.is_deaf = False
+        primary.is_primary = service.current_primary is primary
+        service.report()
+        self._record_fault()
+        for task in tasks:
+            task.cancel()
+
     def _leave_odd_entry(self) -> None:
         raw = self._odd_rng.choice(sorted(odd_entries.ENTRIES_BY_NAME.values()))
         self._platform.put_raw('servers', f'odd-{self._odd_rng.randrange(_ODD_KEYS)}', raw)
@@ -261,7 +356,7 @@
         self._record_fault()
 
     async def _crash_primary(self, _: str, for_s: float) -> None:
-        database = self._rng.choice(self._services).current_primary
+        database = self._rng.choice(self._services[:-1]).current_primary
         database.crash()
         await asyncio.sleep(for_s)
         if not database.is_up:
@@ -271,14 +366,14 @@
         self._record_fault()
 
     async def _silence_primary(self, _: str, for_s: float) -> None:
-        database = self._rng.choice(self._services).current_primary
+        database = self._rng.choice(self._services[:-1]).current_primary
         database.is_silent = True
         await asyncio.sleep(for_s)
         database.is_silent = False
         self._record_fault()
 
     async def _lose_database_answers(self, _: str, for_s: float) -> None:
-        service = self._rng.choice(self._services)
+        service = self._rng.choice(self._services[:-1])
         for database in service.databases:
             database.answer_loss_probability = 0.1
         await asyncio.sleep(for_s)
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -16,6 +16,12 @@
 #: Mean pause between two statements of a session, in seconds.
 _MEAN_INTERVAL_S: Final = 0.05
 
+#: Largest age of the data on the routes of ``BoundedReader``, in seconds.
+MAX_STALENESS_S: Final = 1.5
+
+#: Pause between two statements of a transaction, in seconds.
+TRANSACTION_PAUSE_S: Final = 1.0
+
 #: Passes of the event loop after which an end of the connection that the kernel has received is known.
 _PASSES_OF_LOOP: Final = 2
 
@@ -36,7 +42,7 @@
     def __init__(
         self, number: int, database: str, history: History, processes: list[Process], rng: random.Random
     ) -> None:
-        self._key = f'{database}k{number}'
+        self.key = f'{database}k{number}'
         self._database = database
         self._history = history
         self._processes = processes
@@ -57,15 +63,17 @@
 
     async def _send_one(self) -> None:
         try:
-            if self._writer is None and not await self._open():
-                return
-            if self._rng.random() < _WRITE_FRACTION:
-                await self._write()
-            else:
-                await self._read()
+            if self._writer is not None or await self._open():
+                await self._send_statement()
         except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
             self._close()
 
+    async def _send_statement(self) -> None:
+        if self._rng.random() < _WRITE_FRACTION:
+            await self._write()
+        else:
+            await self._read()
+
     def _close(self) -> None:
         if self._writer is not None:
             self._writer.transport.abort()
@@ -85,18 +93,18 @@
     async def _write(self) -> None:
         self._counter += 1
         request, number = secrets.token_hex(8), self._counter
-        answers = await self._request(f'QUERY {request} WRITE {self._key} {number}', request)
+        answers = await self._request(f'QUERY {request} WRITE {self.key} {number}', request)
         if answers[0].startswith('DONE'):
-            self._history.record_success(request, self._key, number, time.monotonic())
+            self._history.record_success(request, self.key, number, time.monotonic())
         else:
             self._record_error(request, answers)
 
     async def _read(self) -> None:
         request = secrets.token_hex(8)
-        expected = self._history.newest_acknowledged(self._key)
-        answers = await self._request(f'QUERY {request} READ {self._key}', request)
+        expected = self._history.newest_acknowledged(self.key)
+        answers = await self._request(f'QUERY {request} READ {self.key}', request)
         if answers[0].startswith('ROW'):
-            self._history.record_read(request, self._key, int(answers[0].split(' ')[1]), expected, time.monotonic())
+            self._history.record_read(request, self.key, int(answers[0].split(' ')[1]), expected, time.monotonic())
         else:
             self._record_error(request, answers)
 
@@ -135,3 +143,34 @@
         if request != '-' and self._process.is_stopping and self._process.is_stable:
             self._history.record_unanswered(self._process.name, request)
         raise ConnectionResetError
+
+
+class BoundedReader(Caller):
+    """Reads what another caller writes, on a route that accepts data of some age."""
+
+    def follow(self, key: str) -> None:
+        """Read a key of another caller."""
+        self.key = key
+
+    async def _send_statement(self) -> None:
+        request = secrets.token_hex(8)
+        before = time.monotonic() - MAX_STALENESS_S
+        expected = self._history.newest_acknowledged(self.key, before)
+        answers = await self._request(f'QUERY {request} READ {self.key}', request)
+        if answers[0].startswith('ROW'):
+            number = int(answers[0].split(' ')[1])
+            self._history.record_read(request, self.key, number, expected, time.monotonic(), before)
+        else:
+            self._record_error(request, answers)
+
+
+class TransactionHolder(Caller):
+    """Keeps a transaction open and reads in it from time to time."""
+
+    async def _send_statement(self) -> None:
+        await self._request('QUERY b BEGIN', 'b')
+        while True:
+            answers = await self._request(f'QUERY {secrets.token_hex(8)} READ {self.key}', 'r')
+            if answers[0].startswith('ERROR'):
+                raise ConnectionResetError
+            await asyncio.sleep(TRANSACTION_PAUSE_S)
--- a/features/soak/databases.py
+++ b/features/soak/databases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -16,10 +17,20 @@
 _STATEMENT_S: Final = 0.01
 _REPLICATION_INTERVAL_S: Final = 0.02
 
+#: States of a session after the statements that begin and end transactions.
+_STATES_BY_TEXT: Final = {'BEGIN': 'T', 'BEGIN READ': 'T', 'COMMIT': 'I', 'ROLLBACK': 'I'}
+
 #: Time after a promotion at which the old primary becomes a replica of the new one, in seconds.
 _DEMOTION_DELAY_S: Final = 1.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Session:
+    """State of one connection."""
+
+    state: str = 'I'
+
+
 def _ignore_report() -> None:
     """Do nothing; used until a registry is attached."""
 
@@ -39,6 +50,9 @@
         self.term = 1
         self.log: list[Commit] = []
         self.is_silent = False
+        #: Whether it is cut off from the other databases and the store, and whether it receives nothing as a replica.
+        self.is_isolated = False
+        self.is_deaf = False
         self.answer_loss_probability = 0.0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -52,6 +66,11 @@
         """:returns: Whether it is running."""
         return self._server is not None
 
+    @property
+    def is_reachable(self) -> bool:
+        """:returns: Whether the other databases reach it."""
+        return self.is_up and not self.is_silent and not self.is_isolated
+
     def crash(self) -> None:
         """Close every connection and stop listening; the log is kept."""
         if self._server is not None:
@@ -66,11 +85,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        session = _Session()
         try:
             while line := await reader.readline():
                 while self.is_silent:
                     await asyncio.sleep(0.05)
-                answers = await self._answer(line.decode().rstrip('\r\n'))
+                answers = await self._answer(line.decode().rstrip('\r\n'), session)
                 if random.random() < self.answer_loss_probability:
                     return
                 writer.write(''.join(f'{answer}\r\n' for answer in answers).encode())
@@ -82,11 +102,16 @@
             with contextlib.suppress(ConnectionError):
                 writer.close()
 
-    async def _answer(self, line: str) -> list[str]:
+    async def _answer(self, line: str, session: '_Session') -> list[str]:
         word, _, rest = line.partition(' ')
         if word == 'START':
             return [self._ready()]
         request, _, text = rest.partition(' ')
+        session.state = _STATES_BY_TEXT.get(text, session.state)
+        answers = await self._run(request, text)
+        return [*answers[:-1], answers[-1].replace('READY I', f'READY {session.state}')]
+
+    async def _run(self, request: str, text: str) -> list[str]:
         words = text.split(' ')
         if words[0] in {'READ', 'WRITE', 'AFTER'}:
             await asyncio.sleep(_STATEMENT_S)
@@ -173,6 +198,7 @@
                 and database.is_primary
                 and candidate is self.current_primary
                 and not database.is_silent
+                and not database.is_isolated
             ):
                 database.is_primary = False
         self.report()
@@ -181,9 +207,10 @@
         while True:
             await asyncio.sleep(_REPLICATION_INTERVAL_S)
             source = self.current_primary
-            if not source.is_up or source.is_silent or not source.is_primary:
+            if not source.is_reachable or not source.is_primary:
                 continue
             for database in self.databases:
-                if database is not source and database.is_up and not database.is_silent and not database.is_primary:
+                is_following = database.is_reachable and not database.is_deaf and not database.is_primary
+                if database is not source and is_following:
                     database.log = list(source.log)
                     database.term = source.term
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -1,6 +1,7 @@
 """Records what callers and databases observe and checks the guarantees while the soak test runs."""
 
 import dataclasses
+import math
 from typing import Final
 
 #: Error codes which state that no effect of the attempt is kept.
@@ -74,21 +75,25 @@
                     'REFUSED', f'{request} had run, but the answer said that nothing of it is kept ({code})'
                 )
 
-    def newest_acknowledged(self, key: str) -> int:
-        """:returns: Newest number that was acknowledged and not rolled back; a read that begins now must return it."""
-        return max(self._acknowledged.get(key, {}), default=0)
+    def newest_acknowledged(self, key: str, before: float = math.inf) -> int:
+        """:returns: Newest number that was acknowledged before a time and not rolled back; a read must return it."""
+        numbers = (number for number, (at, _) in self._acknowledged.get(key, {}).items() if at < before)
+        return max(numbers, default=0)
 
-    def record_read(self, request: str, key: str, number: int, expected: int, now: float) -> None:
+    def record_read(
+        self, request: str, key: str, number: int, expected: int, now: float, before: float = math.inf
+    ) -> None:
         """Record the result of a read.
 
         :param request: Request id of the read.
         :param key: Key that was read.
         :param number: Number that was returned.
-        :param expected: Newest acknowledged number when the read began.
+        :param expected: Newest number that the read had to return when it began.
         :param now: Present time.
+        :param before: Time before which it had to be acknowledged.
         """
         # A promotion may have rolled back the expected number while the read was running.
-        if number < min(expected, self.newest_acknowledged(key)):
+        if number < min(expected, self.newest_acknowledged(key, before)):
             self._report_violation(
                 'STALE', f'{request} read {key} as {number}, though {expected} was acknowledged before it began'
             )
@@ -103,6 +108,10 @@
                 )
         self._tokens.append((token, holder))
 
+    def promotion_count(self) -> int:
+        """:returns: Number of calls of the promoter so far."""
+        return len(self._tokens)
+
     def record_unanswered(self, instance: str, request: str) -> None:
         """Record a request left unanswered by an instance that was stopped by SIGTERM while nothing else failed."""
         self._report_violation('LOST', f'{instance} was stopped by SIGTERM with {request} unanswered')
--- a/features/soak/instances.py
+++ b/features/soak/instances.py
@@ -43,6 +43,7 @@
         #: Checkout whose build is started next.
         self.checkout = _ROOT
         self.proxy = Proxy(platform.port)
+        self.promoter_proxy = Proxy(platform.port)
         self._platform = platform
         self._folder = folder
         self._readiness_port = reserve_port()
@@ -61,8 +62,9 @@
         return self._process.returncode
 
     async def prepare(self) -> None:
-        """Start the proxy of the instance and write its settings."""
+        """Start the proxies of the instance and write its settings."""
         await self.proxy.start()
+        await self.promoter_proxy.start()
         settings = {
             'instance': self.name,
             'data_centre': 'z',
@@ -71,7 +73,7 @@
             'readiness': f'{HOST}:{self._readiness_port}',
             'peer_ports': [self._peer_port, self._peer_port],
             'store': f'{HOST}:{self.proxy.port}',
-            'promoter': f'{HOST}:{self._platform.port}',
+            'promoter': f'{HOST}:{self.promoter_proxy.port}',
             'stop_s': STOP_TIMEOUT_S,
         }
         (self._folder / f'{self.name}.jsonc').write_text('// Settings of the soak.\n' + json.dumps(settings))
@@ -109,6 +111,16 @@
                 await self.kill()
         self.is_ready = False
 
+    def coordinates_since(self) -> str:
+        """:returns: Time of its latest log line which says that it has become the coordinator; empty without one."""
+        lines = (self._folder / f'{self.name}.log').read_text(errors='replace').splitlines()
+        return max((line for line in lines if ' event=duty_taken ' in line), default='')
+
+    def hold_paths(self, *, is_held: bool) -> None:
+        """Hold what passes between the instance and the platform, or deliver what was held."""
+        for proxy in (self.proxy, self.promoter_proxy):
+            proxy.set_mode('silent' if is_held else 'pass')
+
     async def poll_readiness(self) -> None:
         """Poll the readiness endpoint every 0.2 s until cancelled."""
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as http:
--- a/features/soak/platform.py
+++ b/features/soak/platform.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import random
+from collections.abc import Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -87,6 +88,8 @@
     def _report(self) -> None:
         for service in self.services:
             for database in service.databases:
+                if database.is_isolated:
+                    continue
                 self.put(
                     'servers',
                     database.name,
@@ -176,6 +179,8 @@
     def __init__(self, platform_port: int) -> None:
         self.mode = 'pass'
         self.held_bytes = 0
+        #: Called with each chunk before it is forwarded.
+        self.on_chunk: Callable[[bytes], None] | None = None
         self.port = 0
         self._platform_port = platform_port
         self._writers: set[asyncio.StreamWriter] = set()
@@ -220,6 +225,8 @@
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while chunk := await reader.read(65536):
+                if self.on_chunk is not None:
+                    self.on_chunk(chunk)
                 await self._hold(len(chunk))
                 if reader.exception() is not None:
                     # The sender has reset the connection, so what was held is lost.
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -14,8 +14,10 @@
 from features.soak.platform import Proxy
 from fescuequay_core.relay.model import TargetDescription
 from fescuequay_core.types import InstanceId, OrganisationId, RequestId, ServiceId, TargetId, Term
+from fescuequay_emulator.experiments import hunted_scenario
+from fescuequay_emulator.late_delivery import HoldEnd
 from fescuequay_emulator.load import write
-from fescuequay_emulator.scenarios import HOLD_KIND, Fault, Scenario, run_scenario
+from fescuequay_emulator.scenarios import HOLD_KIND, TRANSACTIONS_KIND, Fault, Scenario, run_scenario
 from fescuequay_entry.relay.authority import Authority
 from fescuequay_entry.relay.board import Board, InstanceIdentity
 from fescuequay_entry.relay.control_connections import ControlConnections
@@ -297,3 +299,17 @@
 @then('no seed violated a guarantee')
 def step_no_seed_violated(context: Any) -> None:
     assert not any(figures.broken for figures in context.runs), [figures.broken[:2] for figures in context.runs]
+
+
+@when('the schedules of seeds {first:d} to {last:d} are drawn for a hunt')
+def step_schedules(context: Any, first: int, last: int) -> None:
+    context.schedules = [hunted_scenario(seed).faults for seed in range(first, last + 1)]
+
+
+@then('each has both faults, and their variants all occur')
+def step_both_faults(context: Any) -> None:
+    variants = {(fault.kind, fault.how) for faults in context.schedules for fault in faults}
+    assert variants >= {(HOLD_KIND, end.value) for end in HoldEnd}, variants
+    assert variants >= {(TRANSACTIONS_KIND, ''), (TRANSACTIONS_KIND, 'cut')}, variants
+    for faults in context.schedules:
+        assert {HOLD_KIND, TRANSACTIONS_KIND} <= {fault.kind for fault in faults}, faults
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -30,6 +30,8 @@
     elif 'older token' in what:
         history.record_promotion('a', 3)
         history.record_promotion('b', 2)
+    elif 'lacks an older write' in what:
+        _read_old_data(history, before=2.5)
     elif 'lacks' in what:
         history.record_read('q2', 'k', 0, 1, 3.0)
     elif 'unanswered' in what:
@@ -41,6 +43,22 @@
     context.soak_history = history
 
 
+def _read_old_data(history: History, before: float) -> None:
+    """Record a read without the write of 2.0, which had to return what was acknowledged before a time."""
+    history.record_read('q2', 'k', 0, history.newest_acknowledged('k', before), 3.0, before)
+
+
+@when('a read that accepts old data lacks a recent write')
+def step_old_data(context: Any) -> None:
+    context.soak_history = _acknowledged()
+    _read_old_data(context.soak_history, before=1.5)
+
+
+@then('it is no violation')
+def step_nothing_reported(context: Any) -> None:
+    assert not context.soak_history.violations, context.soak_history.violations
+
+
 @then('the soak reports {guarantee}')
 def step_reports(context: Any, guarantee: str) -> None:
     assert [line.partition(':')[0] for line in context.soak_history.violations] == [guarantee], (
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -11,10 +11,13 @@
 
 import msgspec
 
+from fescuequay_emulator.late_delivery import HoldEnd
 from fescuequay_emulator.scenarios import (
     DRILL_KIND,
     EVACUATION_KIND,
     FAULT_KINDS,
+    HOLD_KIND,
+    TRANSACTIONS_KIND,
     Fault,
     Figures,
     Scenario,
@@ -143,13 +146,19 @@
     :returns: The failing schedules.
     """
     for seed in seeds:
-        scenario = with_random_drills(random_scenario(seed), seed) if with_drills else random_scenario(seed)
+        scenario = hunted_scenario(seed, with_drills=with_drills)
         figures = run_scenario(scenario, seed)
         on_scenario(seed, figures)
         if figures.broken:
             yield shrink(FailingSchedule(seed, scenario, figures))
 
 
+def hunted_scenario(seed: int, *, with_drills: bool = False) -> Scenario:
+    """:returns: The schedule of a seed in a hunt: random faults, late deliveries, and drills where they are wanted."""
+    scenario = with_late_deliveries(random_scenario(seed), seed)
+    return with_random_drills(scenario, seed) if with_drills else scenario
+
+
 def random_scenario(seed: int) -> Scenario:
     """:returns: A scenario with a random schedule of faults that may overlap."""
     rng = random.Random(seed)
@@ -167,6 +176,31 @@
     return Scenario(f'hunted {seed}', faults=tuple(map(_with_supported_subject, faults)))
 
 
+def with_late_deliveries(scenario: Scenario, seed: int) -> Scenario:
+    """Add a promotion that is held up on its way, and transactions that stay open on a primary which is replaced.
+
+    :param scenario: The scenario.
+    :param seed: Seed of the faults.
+    :returns: The scenario with both faults, and a service that has no other load.
+    """
+    rng = random.Random(f'late {seed}')
+    held = Fault(
+        at=round(rng.uniform(0, 1), 2),
+        kind=HOLD_KIND,
+        for_s=round(rng.uniform(0.5, 6), 2),
+        on=rng.choice(('0', '1')),
+        how=rng.choice([end.value for end in HoldEnd]),
+    )
+    replaced = Fault(
+        at=round(rng.uniform(0, 3), 2),
+        kind=TRANSACTIONS_KIND,
+        for_s=round(rng.uniform(4, 9), 2),
+        how=rng.choice(('', 'cut')),
+    )
+    plan = dataclasses.replace(scenario.plan, idle_services=1)
+    return msgspec.structs.replace(scenario, plan=plan, faults=(*scenario.faults, held, replaced))
+
+
 def with_random_drills(scenario: Scenario, seed: int) -> Scenario:
     """Add drills to a schedule, at any moment and also in quick succession.
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/open_transactions.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/open_transactions.py
@@ -40,12 +40,12 @@
         self._world = world
         self._service = service
         self._primary = world.primary_of(f's{service}')
-        names = sorted(world.instances)
-        # Most faults concern the coordinator, which passes on the positions of primaries.
-        self._reading = next(
-            (name for name in names if world.instances[name].board.lease.holds(world.loop.time())), names[0]
-        )
-        self._writing = next((name for name in names if name != self._reading), names[0])
+        names = sorted(world.data_centres_by_instance)
+        now = world.loop.time()
+        # The coordinator passes on the positions of primaries to the others.
+        coordinators = (name for name, one in world.instances.items() if one.board.lease.holds(now))
+        self._reading = next(coordinators, names[0])
+        self._writing = next(name for name in names if name != self._reading)
         self._until = float('inf')
 
     async def run(self, for_s: float) -> None:
