Prove that no promotion of a former coordinator arrives after its successor's

Cause: the specification had the permits that end before a promotion, but not the promotion itself: a request was taken to arrive when it is sent.

Change: spec/promotions.py, a transition system with a request that the network holds for any time, renewals whose answers are lost, a resignation, the end of the process and a successor. A process that is stopped between the check and the send is left out, as nothing bounds that.

--- a/spec/prove.py
+++ b/spec/prove.py
@@ -8,10 +8,10 @@
 
 import click
 
-from spec import closing, eras, fences, listing, loans, permits, seats, terms, versions
+from spec import closing, eras, fences, listing, loans, permits, promotions, seats, terms, versions
 from spec.transition import System, counterexample, guard_names, prove
 
-#: The first six describe the product's own interface, the last three the protocol on the users' platform.
+#: The first six describe the product's own interface, the last four the protocol on the users' platform.
 SYSTEMS = (
     permits.SYSTEM,
     fences.SYSTEM,
@@ -22,6 +22,7 @@
     closing.SYSTEM,
     listing.SYSTEM,
     eras.SYSTEM,
+    promotions.SYSTEM,
 )
 
 
