--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -18,13 +19,18 @@
 
 from aiohttp import web
 
-from features import odd_entries
+from features import odd_entries, smuggling
 from features.ports import reserve_port
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
 _HOST = '127.0.0.1'
 _TIMEOUT_S = 15.0
 
+_MAX_MESSAGE_BYTES = 1_048_576
+
+#: What a careless target may take for the end of a line.
+_LINE_END = re.compile(b'\\r\\n|[\\r\\n\\0]')
+
 _CONFIG = {
     'version': 3,
     'routes': [
@@ -43,6 +49,10 @@
 }
 
 
+#: Time for which a caller waits for the answers to a message with a request inside, in seconds.
+_SMUGGLING_WAIT_S = 0.3
+
+
 class PlatformStandIn:
     """Stands in for one database and for the calls of the metadata store that one instance makes."""
 
@@ -53,6 +63,8 @@
         self._version = 0
         self._items: dict[str, str] = {}
         self._commits = 0
+        #: Ids and texts of the statements that the database ran.
+        self.ran: list[tuple[str, str]] = []
         self._late_entries: dict[str, bytes] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -99,7 +111,9 @@
         self._runner = web.AppRunner(application)
         await self._runner.setup()
         await web.TCPSite(self._runner, _HOST, self.store_port).start()
-        self._server = await asyncio.start_server(self._serve, _HOST, self.database_port)
+        self._server = await asyncio.start_server(
+            self._serve, _HOST, self.database_port, limit=2 * _MAX_MESSAGE_BYTES
+        )
 
     async def _end(self) -> None:
         self._server.close()
@@ -148,11 +162,12 @@
         return self._answer([])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one database connection."""
+        """Serve one database connection, like a target that takes more than CR LF for the end of a line."""
         try:
-            while line := await reader.readline():
-                for answer in self._replies_to(line.decode().rstrip('\r\n')):
-                    writer.write(answer.encode() + b'\r\n')
+            while raw := await reader.readline():
+                for line in filter(None, _LINE_END.split(raw)):
+                    for answer in self._replies_to(line.decode()):
+                        writer.write(answer.encode() + b'\r\n')
                 await writer.drain()
         except ConnectionError:
             return
@@ -166,6 +181,7 @@
             assert 'secret' not in rest, 'a key was forwarded to the database'
             return [ready]
         request, _, text = rest.partition(' ')
+        self.ran.append((request, text))
         words = text.split(' ')
         if words[0] == 'STATUS':
             return [f'ROW primary 1 1.{self._commits} 0 0 0 1', 'DONE -', ready]
@@ -245,6 +261,25 @@
                 sender.sendall(raw)
                 sender.recv(100)
 
+    def smuggle(self, shape: smuggling.Smuggling) -> bytes:
+        """:returns: What a caller is answered that sends a message with a request inside, and then waits."""
+        if not self._standin.ran:
+            valid = self._open('START db secret')
+            self._await_primary(valid)
+            valid.close()
+        with self._open('START db secret') as caller:
+            caller.settimeout(_SMUGGLING_WAIT_S)
+            received = b''
+            with contextlib.suppress(OSError):
+                caller.sendall(shape.raw)
+                while chunk := caller.recv(4096):
+                    received += chunk
+            return received
+
+    def ran(self) -> list[tuple[str, str]]:
+        """:returns: Ids and texts of the statements that the database ran."""
+        return list(self._standin.ran)
+
     def output(self) -> list[str]:
         """:returns: The lines that the instance has written."""
         return self._output.read_text().splitlines()
