Name session, bytes and connection in the lines about statements and undecodable messages

served, refused, bad_message and session_refused now name the session by the caller's address, and the bytes of the message in what that session sent; served names the connection to the target by the address that the target sees; bad_message names the organisation and the request before. No decision changes.

--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -111,9 +111,7 @@
         self._runner = web.AppRunner(application)
         await self._runner.setup()
         await web.TCPSite(self._runner, _HOST, self.store_port).start()
-        self._server = await asyncio.start_server(
-            self._serve, _HOST, self.database_port, limit=2 * _MAX_MESSAGE_BYTES
-        )
+        self._server = await asyncio.start_server(self._serve, _HOST, self.database_port, limit=2 * _MAX_MESSAGE_BYTES)
 
     async def _end(self) -> None:
         self._server.close()
@@ -165,9 +163,9 @@
         """Serve one database connection, like a target that takes more than CR LF for the end of a line."""
         try:
             while raw := await reader.readline():
-                for line in filter(None, _LINE_END.split(raw)):
-                    for answer in self._replies_to(line.decode()):
-                        writer.write(answer.encode() + b'\r\n')
+                lines = filter(None, _LINE_END.split(raw))
+                answers = (answer for line in lines for answer in self._replies_to(line.decode()))
+                writer.writelines(answer.encode() + b'\r\n' for answer in answers)
                 await writer.drain()
         except ConnectionError:
             return
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
@@ -52,6 +52,7 @@
         waiting: WaitingStatement,
         metrics: GatewayMetrics,
     ) -> None:
+        self.name = peer.member.instance
         self.is_open = True
         self.position = None
         #: What the next frame carries: session values, shape, version of the leader record, end of the time limit.
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -264,10 +264,12 @@
 class TargetConnection(abc.ABC):
     """Open connection to a target on behalf of one organisation; runs one statement at a time.
 
+    :ivar name: Name of the connection in logs: the address from which it was opened, or the gateway that holds it.
     :ivar is_open: Whether it can be used.
     :ivar position: Log position that the target reported last.
     """
 
+    name: str = '-'
     is_open: bool = False
     position: LogPosition | None = None
 
@@ -363,16 +365,34 @@
     credential: Credential
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Extent:
+    """The bytes of a message in what its caller has sent.
+
+    :param offset: Number of bytes that the caller sent before it.
+    :param size: Its length with its end, in bytes; of an undecodable one, the length of what was examined.
+    """
+
+    offset: int
+    size: int
+
+
+#: Extent of a message that did not come from a connection.
+NO_EXTENT: Final = Extent(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
     """Message with a statement of a caller.
 
     :param request: The caller's id of the request.
     :param statement: The statement.
+    :param extent: Its bytes.
     """
 
     request: RequestId
     statement: Statement
+    extent: Extent = NO_EXTENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -381,10 +401,12 @@
 
     :param detail: What is wrong with it.
     :param is_fatal: Whether the messages after it can't be decoded either.
+    :param extent: Its bytes.
     """
 
     detail: str
     is_fatal: bool
+    extent: Extent = NO_EXTENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -398,9 +420,11 @@
 class CallerConnection(abc.ABC):
     """Connection of a caller.
 
+    :ivar peer: Address of the caller, which names the session in logs.
     :ivar is_disconnected: Whether the caller has disconnected.
     """
 
+    peer: str = '-'
     is_disconnected: bool = False
 
     @abc.abstractmethod
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -15,12 +15,13 @@
     StatementKind,
 )
 from fescuequay_core.relay.refusals import Refused
-from fescuequay_core.types import Instant, OrganisationId, TargetId
+from fescuequay_core.types import Instant, OrganisationId, RequestId, TargetId
 from fescuequay_entry.relay import admission
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.operation import InFlightWrite, Operation, Placement
 from fescuequay_entry.relay.ports import (
+    NO_EXTENT,
     BadMessage,
     CallerConnection,
     CallerMessage,
@@ -83,6 +84,7 @@
         self._reported_position: LogPosition | None = None
         self._transaction: OpenTransaction | None = None
         self._basis = board.configuration_basis()
+        self._previous_request = RequestId('-')
         self.is_busy = True
 
     async def run(self) -> None:
@@ -122,6 +124,7 @@
         except Refused as refusal:
             log_event(
                 'session_refused',
+                session=self._caller.peer,
                 database=message.database,
                 reason=refusal.reason.code,
                 **self._basis.pairs(),
@@ -156,7 +159,17 @@
     def _refuse_bad_message(self, message: BadMessage | Opening) -> bool:
         """:returns: Whether the session can continue after a malformed or unexpected message."""
         detail = message.detail if isinstance(message, BadMessage) else 'the session is already open'
-        log_event('bad_message', database=self._database, detail=detail)
+        extent = message.extent if isinstance(message, BadMessage) else NO_EXTENT
+        log_event(
+            'bad_message',
+            session=self._caller.peer,
+            database=self._database,
+            organisation=self._organisation_label(),
+            offset=extent.offset,
+            size=extent.size,
+            previous=self._previous_request,
+            detail=detail,
+        )
         self._metrics.refused.labels(refusals.MALFORMED.code).inc()
         self._caller.refuse(Refused(refusals.MALFORMED, detail), self._state(), self._reported_position)
         return isinstance(message, BadMessage) and not message.is_fatal
@@ -176,6 +189,7 @@
 
     async def _handle_query(self, query: Query) -> None:
         began_at = self._board.clock()
+        self._previous_request = query.request
         outcome = 'served'
         placement: Placement | None = None
         try:
@@ -186,6 +200,8 @@
             log_event(
                 'refused',
                 request=query.request,
+                session=self._caller.peer,
+                offset=query.extent.offset,
                 kind=query.statement.kind.value,
                 database=self._database,
                 reason=outcome,
@@ -210,7 +226,11 @@
         log_event(
             'served',
             request=query.request,
+            session=self._caller.peer,
+            offset=query.extent.offset,
+            size=query.extent.size,
             target=placement.pooled.target.target,
+            connection=placement.pooled.connection.name,
             ms=round((now - began_at) * 1000, 1),
             leader_term=leader.term if leader is not None else '-',
             **placement.basis(now),
