End a message with CR LF alone, and decode nothing behind one that is broken

A bare CR or NUL in a WRITE went on to the target, where another reading of the end of a line makes two requests of one.

Cause: where a message ends was not decided at one place. The decoder took any line feed for an end, found afterwards that the line lacked its CR, and went on in the middle of a message, as it did behind a message of over 1 MiB. The encoder checked no field.

Change: the codec alone decides. A CR or LF elsewhere than in CR LF, a NUL, or too long a message makes the rest of the stream undecodable: the caller is told MALFORMED and the session ends; nothing behind it is looked at. A message is encoded as one line whose fields are those that were meant, or not at all: a statement that can't be sent is refused as not run, an answer that can't be passed on has an unknown outcome, details are made printable. A target that answers with such bytes loses the connection and counts as faulty, not as down: one unreadable row must not pause a target. A first message that is no START is logged.

The process test of malformed lines now requires that the session ends after a line without CR; before, it accepted that the session goes on, which was the fault.

--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -244,6 +244,7 @@
         answers['malformed'] = self._ask(other, 'QUERY a3 JUMP x', 2)
         answers['unknown statement'] = self._ask(other, 'QUERY a4 EXECUTE s1 x', 2)
         answers['no cr'] = self._ask(other, 'QUERY a5 READ x', 2, end=b'\n')
+        assert other.recv(1) == b'', 'the session went on after a message without its end'
         answers['unknown database'] = self._ask(None, 'START nothing secret', 1)
         answers['unknown key'] = self._ask(None, 'START db other', 1)
         answers['after'] = self._ask(valid, 'QUERY a6 READ x', 3)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -30,7 +30,7 @@
 from fescuequay_entry.relay.hops import HopLink, HopReceiver
 from fescuequay_entry.relay.metrics import GatewayMetrics
 from fescuequay_entry.relay.pool import PooledConnection, Pools
-from fescuequay_entry.relay.ports import Outcome, TargetLost, TargetSilent
+from fescuequay_entry.relay.ports import Outcome, TargetLost, TargetSilent, UnreadableAnswer
 
 #: Timeout for setting session values and preparing a statement, in seconds.
 _PREPARE_TIMEOUT_S: Final = 0.5
@@ -314,6 +314,10 @@
                 raise _NotServed(Fate.TURNED_AWAY, 'the permit for this primary has ended at the gateway')
             async with asyncio.timeout(max(until - self._board.clock(), 0)):
                 outcome = await self._send_counted(ask, pooled, name, writes=int(lease.has_written and is_decisive))
+        except UnreadableAnswer:
+            health.record_answer(self._board.clock(), is_fault=True)
+            pooled.connection.close()
+            raise
         except (TargetLost, TimeoutError):
             health.record_failure(began_at, self._board.clock(), is_refusal=False)
             pooled.connection.close()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -210,6 +210,14 @@
         self.is_refusal = is_refusal
 
 
+class UnreadableAnswer(TargetLost):
+    """A target answered with what is no answer; the connection ended, and the statement may have run."""
+
+
+class Unsendable(Exception):
+    """A text cannot be sent to the caller as a part of one message; nothing was sent."""
+
+
 class NotSent(TargetLost):
     """The connection ended before the caller's statement was sent; it has certainly not run."""
 
@@ -288,6 +296,7 @@
         :param statement: The statement; its text is sent unchanged.
         :param name: Name of the prepared statement on this connection.
         :param after: Log position that the target must have reached.
+        :returns: The answer; a fault that is no answer of the target if it cannot be sent as one message.
         :raises TargetLost: The connection ended; the statement may have run.
         """
 
@@ -301,11 +310,19 @@
 
     @abc.abstractmethod
     async def set_value(self, name: str, value: str) -> Outcome:
-        """Set a session value. :raises TargetLost: The connection ended."""
+        """Set a session value.
+
+        :raises TargetLost: The connection ended.
+        :raises Refused: It cannot be sent as one message; it was not sent.
+        """
 
     @abc.abstractmethod
     async def prepare(self, name: str, shape: str, *, is_write: bool) -> Outcome:
-        """Prepare a statement. :raises TargetLost: The connection ended."""
+        """Prepare a statement.
+
+        :raises TargetLost: The connection ended.
+        :raises Refused: It cannot be sent as one message; it was not sent.
+        """
 
     @abc.abstractmethod
     async def reset(self) -> Outcome:
@@ -437,11 +454,11 @@
 
     @abc.abstractmethod
     def answer(self, rows: Sequence[str], signature: str, state: SessionState, position: LogPosition | None) -> None:
-        """Send the result of a successful statement."""
+        """Send the result of a successful statement. :raises Unsendable: It holds what cannot be sent."""
 
     @abc.abstractmethod
     def refuse(self, refusal: Refused, state: SessionState, position: LogPosition | None) -> None:
-        """Send the refusal or failure of a statement."""
+        """Send the refusal or failure of a statement; its detail is made sendable."""
 
     @abc.abstractmethod
     def accept_session(self) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -26,11 +26,13 @@
     CallerConnection,
     CallerMessage,
     Closing,
+    Extent,
     NotSent,
     Opening,
     Outcome,
     Query,
     TargetLost,
+    Unsendable,
 )
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
@@ -110,11 +112,12 @@
             message = await asyncio.wait_for(self._caller.receive(), _OPENING_TIMEOUT_S)
         except TimeoutError:
             return False
+        if isinstance(message, Closing):
+            return False
         if not isinstance(message, Opening):
-            if isinstance(message, BadMessage):
-                self._caller.reject_session(Refused(refusals.MALFORMED, message.detail))
-            elif isinstance(message, Query):
-                self._caller.reject_session(Refused(refusals.MALFORMED, 'the session was not opened'))
+            detail = message.detail if isinstance(message, BadMessage) else 'the session was not opened'
+            self._log_bad_message(detail, message.extent)
+            self._caller.reject_session(Refused(refusals.MALFORMED, detail))
             return False
         self._database = message.database
         self._credential = message.credential
@@ -159,11 +162,15 @@
     def _refuse_bad_message(self, message: BadMessage | Opening) -> bool:
         """:returns: Whether the session can continue after a malformed or unexpected message."""
         detail = message.detail if isinstance(message, BadMessage) else 'the session is already open'
-        extent = message.extent if isinstance(message, BadMessage) else NO_EXTENT
+        self._log_bad_message(detail, message.extent if isinstance(message, BadMessage) else NO_EXTENT)
+        self._caller.refuse(Refused(refusals.MALFORMED, detail), self._state(), self._reported_position)
+        return isinstance(message, BadMessage) and not message.is_fatal
+
+    def _log_bad_message(self, detail: str, extent: Extent) -> None:
         log_event(
             'bad_message',
             session=self._caller.peer,
-            database=self._database,
+            database=self._database or '-',
             organisation=self._organisation_label(),
             offset=extent.offset,
             size=extent.size,
@@ -171,8 +178,6 @@
             detail=detail,
         )
         self._metrics.refused.labels(refusals.MALFORMED.code).inc()
-        self._caller.refuse(Refused(refusals.MALFORMED, detail), self._state(), self._reported_position)
-        return isinstance(message, BadMessage) and not message.is_fatal
 
     async def _next_message(self) -> CallerMessage:
         transaction = self._transaction
@@ -443,7 +448,10 @@
         self._reported_position = outcome.position
         role = 'replica' if placement.record is None else 'primary'
         self._metrics.answered.labels(role).inc()
-        self._caller.answer(outcome.rows, outcome.signature, self._state(), self._reported_position)
+        try:
+            self._caller.answer(outcome.rows, outcome.signature, self._state(), self._reported_position)
+        except Unsendable as error:
+            raise Refused(refusals.LOST, f'the answer cannot be passed on: {error}') from error
 
     def _answer_locally(self) -> None:
         self._caller.answer((), '-', self._state(), self._reported_position)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -20,7 +20,14 @@
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.operation import Choice, FailedAttempts, InFlightWrite, Operation, Placement
 from fescuequay_entry.relay.pool import Pools
-from fescuequay_entry.relay.ports import GatewayRefused, NotSent, Outcome, TargetLost, TargetSilent
+from fescuequay_entry.relay.ports import (
+    GatewayRefused,
+    NotSent,
+    Outcome,
+    TargetLost,
+    TargetSilent,
+    UnreadableAnswer,
+)
 from fescuequay_entry.relay.target_selector import (
     BUSY_TARGET_PAUSE_S,
     FAILOVER_WAIT_SHARE,
@@ -427,6 +434,9 @@
             self.release(placement, is_clean=False)
             tried.add(target.target)
             return None
+        except Refused:
+            self.release(placement, is_clean=False)
+            raise
         if not self.has_valid_permit(placement) or self._board.is_closed(target):
             self.release(placement, is_clean=True)
             return None
@@ -491,13 +501,17 @@
         target = placement.pooled.target
         is_refusal = isinstance(error, TargetLost) and error.is_refusal
         concerns_target = placement.pooled.concerns_target(error)
-        if concerns_target:
+        if isinstance(error, UnreadableAnswer):
+            # A target that answers is neither down nor silent, so that one unreadable row does not pause it.
+            self._board.health_of(target).record_answer(now, is_fault=True)
+        elif concerns_target:
             self._board.health_of(target).record_failure(sent_at, now, is_refusal=is_refusal)
         placement.pooled.connection.close()
         log_event(
             'target_lost' if concerns_target else 'hop_failed',
             request=request,
             target=target.target,
+            connection=placement.pooled.connection.name,
             waited_s=round(now - sent_at, 3),
             detail=str(error) or 'silent',
         )
