Refuse requests under the id of internal statements

Cause: ids of callers were not checked. Such a request, and one without an id, is now MALFORMED, and the session goes on, since the message itself was whole.

--- a/features/framing.feature
+++ b/features/framing.feature
@@ -7,7 +7,7 @@
     When callers send a request inside each kind of field, before each byte that may end a line
     Then the target has run nothing but what callers sent as messages of their own
 
-  @real @known-red
+  @real
   Scenario: No caller's request runs under an id that names no request of a caller
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When callers send requests under the id of internal statements and under no id
