Take nothing but a whole answer in its order for an answer, and reuse no connection that has more

A target that sent ROW behind DONE, two DONE, or a part of a further message: the caller got a success with rows that came after its signature, and the connection stayed in the pool with bytes in the decoder, which the next statement would have taken for the beginning of its answer.

Nothing but READY may follow DONE or ERROR; otherwise the connection is lost and the outcome unknown. A connection with a part of a message is not reused.

--- a/features/framing.feature
+++ b/features/framing.feature
@@ -22,6 +22,13 @@
   Scenario: A message of up to 1 MiB is decoded, and a longer one ends the stream, with its end or without
     Then messages around the longest one are read as the model reads them, in chunks of 1, 4096 and 65536 bytes
 
+  Scenario: Whatever bytes a target answers, a statement gets a whole answer or loses the connection
+    Then hypothesis finds no bytes of a target that are taken for another answer than the model reads
+
+  Scenario: A connection on which a target has sent more than its answer is not used again
+    When a target answers a statement and sends a part of another message
+    Then the statement has its answer, and the connection can't be used again
+
   Scenario Outline: A text with <what> cannot end a message early on any connection that the instance writes to
     When a text with <what> is sent in each place that others may have written
     Then each connection gets whole messages with the fields that were meant, or nothing
