Return a connection to the pool only if its target says that no transaction is open

Single reads and writes counted as clean whenever they were answered. Now the state in the answer decides.

--- a/features/framing.feature
+++ b/features/framing.feature
@@ -29,6 +29,12 @@
     When a target answers a statement and sends a part of another message
     Then the statement has its answer, and the connection can't be used again
 
+  @real
+  Scenario: A connection that its target leaves within a transaction is used for no other statement
+    Given a real instance whose target takes LF, CR and NUL for the end of a line
+    When a caller reads an item after which the target says that a transaction is open, and then another one
+    Then the two reads ran on different connections
+
   Scenario Outline: A text with <what> cannot end a message early on any connection that the instance writes to
     When a text with <what> is sent in each place that others may have written
     Then each connection gets whole messages with the fields that were meant, or nothing
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -49,6 +49,9 @@
 }
 
 
+#: Item after which the database says that a transaction is open, though none was begun.
+LEFT_OPEN = 'left-open'
+
 #: Time for which a caller waits for the answers to a message with a request inside, in seconds.
 _SMUGGLING_WAIT_S = 0.3
 
@@ -63,8 +66,10 @@
         self._version = 0
         self._items: dict[str, str] = {}
         self._commits = 0
-        #: Ids and texts of the statements that the database ran.
+        #: Ids and texts of the statements that the database ran, and on which of its connections.
         self.ran: list[tuple[str, str]] = []
+        self.connections: list[int] = []
+        self._connection_count = 0
         self._late_entries: dict[str, bytes] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -161,10 +166,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one database connection, like a target that takes more than CR LF for the end of a line."""
+        self._connection_count += 1
+        connection = self._connection_count
         try:
             while raw := await reader.readline():
                 lines = filter(None, _LINE_END.split(raw))
-                answers = (answer for line in lines for answer in self._replies_to(line.decode()))
+                answers = (answer for line in lines for answer in self._replies_to(line.decode(), connection))
                 writer.writelines(answer.encode() + b'\r\n' for answer in answers)
                 await writer.drain()
         except ConnectionError:
@@ -172,7 +179,7 @@
         finally:
             writer.close()
 
-    def _replies_to(self, line: str) -> list[str]:
+    def _replies_to(self, line: str, connection: int) -> list[str]:
         word, _, rest = line.partition(' ')
         ready = f'READY I 1.{self._commits}'
         if word == 'START':
@@ -180,6 +187,7 @@
             return [ready]
         request, _, text = rest.partition(' ')
         self.ran.append((request, text))
+        self.connections.append(connection)
         words = text.split(' ')
         if words[0] == 'STATUS':
             return [f'ROW primary 1 1.{self._commits} 0 0 0 1', 'DONE -', ready]
@@ -188,7 +196,8 @@
             self._items[words[1]] = ' '.join(words[2:])
             return [f'DONE i-1.{request}', f'READY I 1.{self._commits}']
         if words[0] == 'READ':
-            return [f'ROW {self._items.get(words[1], "")}', f'DONE i-1.{request}', ready]
+            state = 'T' if words[1] == LEFT_OPEN else 'I'
+            return [f'ROW {self._items.get(words[1], "")}', f'DONE i-1.{request}', f'READY {state} 1.{self._commits}']
         return ['DONE -', ready]
 
 
@@ -275,6 +284,13 @@
                     received += chunk
             return received
 
+    def read_in_turn(self, items: list[str]) -> list[int]:
+        """:returns: On which connections of the database a session's reads of these items ran."""
+        with self._open('START db secret') as caller:
+            self._await_primary(caller)
+            self._await_reuse(caller)
+            return [self._read_connection(caller, item) for item in items]
+
     def ran(self) -> list[tuple[str, str]]:
         """:returns: Ids and texts of the statements that the database ran."""
         return list(self._standin.ran)
@@ -322,6 +338,20 @@
             time.sleep(0.1)
         raise AssertionError('no primary was found')
 
+    def _await_reuse(self, caller: socket.socket) -> None:
+        """Wait until connections are kept after use; for some seconds after its start an instance closes them."""
+        deadline = time.monotonic() + _TIMEOUT_S
+        while self._read_connection(caller, 'warm') != self._read_connection(caller, 'warm'):
+            assert time.monotonic() < deadline, 'no connection was used twice'
+            time.sleep(0.2)
+
+    def _read_connection(self, caller: socket.socket, item: str) -> int:
+        """:returns: On which connection of the database a read ran."""
+        answer = self._ask(caller, f'QUERY r-{item} READ {item}', 3)
+        assert answer[1].startswith('DONE'), answer
+        ran = zip(self._standin.ran, self._standin.connections, strict=True)
+        return [connection for (request, _), connection in ran if request == f'r-{item}'][-1]
+
     def _open(self, opening: str) -> socket.socket:
         caller = socket.create_connection((_HOST, self._ports['callers']), timeout=5)
         assert self._ask(caller, opening, 1) == ['READY I -']
--- a/features/steps/framing_steps.py
+++ b/features/steps/framing_steps.py
@@ -202,6 +202,17 @@
     assert outcome is not None and outcome.rows == ['v'] and not connection.is_open
 
 
+@when('a caller reads an item after which the target says that a transaction is open, and then another one')
+def step_left_open(context: Any) -> None:
+    context.connections = context.world.read_in_turn(['first', relay_processes.LEFT_OPEN, 'next'])
+
+
+@then('the two reads ran on different connections')
+def step_different(context: Any) -> None:
+    first, left_open, after = context.connections
+    assert first == left_open != after, context.connections
+
+
 @when('a text with {what} is sent in each place that others may have written')
 def step_texts(context: Any, what: str) -> None:
     context.sent = asyncio.run(line_ends.send_everywhere(f'x{_BREAKS_BY_NAME[what]}QUERY hidden READ y'))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -252,7 +252,7 @@
         try:
             with InFlightWrite(self._board, operation):
                 outcome = await self.execute(operation, placement, request, statement, shape)
-            is_clean = True
+            is_clean = outcome.state is SessionState.IDLE
             return outcome
         except NotSent:
             raise
@@ -358,7 +358,7 @@
         is_clean = False
         try:
             outcome = await self.execute(operation, placement, request, statement, shape)
-            is_clean = True
+            is_clean = outcome.state is SessionState.IDLE
             return outcome
         except TimeoutError:
             raise Refused(
