Read one response of HTTP as one, and use no connection with bytes behind it again

Callers of the HTTP client (table, promoter, peers) took an interim response (100) for the answer, and the final one stayed on a connection that was kept. Of two responses in one read, the first got the headers of the second one; the beginning of a second one, or an empty line, stayed unnoticed and the connection was used for the next request. 101 counted as an answer. A trailer replaced a header, as did a second header of the same name (the store's era). A body with another transfer coding and HTTP/2.0 were read as if they were plain HTTP/1.1. Endless header fields were read until the time limit.

Cause: the client took each end of a message that its parser reports for the end of the response, and kept one mapping of headers for the connection. Now interim responses are skipped, headers end with the head, fields of one name are one list, 101, other versions and other codings are errors, and the head is bounded. The last byte of each read is parsed by itself, so that a response that is complete before it is known to have bytes behind it: the connection is closed, with one line.

--- a/features/http.feature
+++ b/features/http.feature
@@ -51,6 +51,23 @@
       | an end of the kept connection to a write | ok, end, ok | POST | 200 ok, error | 2 | 1 |
       | silence | silence, ok | POST | timeout, 200 ok | 2 | 2 |
       | bytes that nobody asked for | ok and more, ok | POST | 200 ok, 200 ok | 2 | 2 |
+      | an empty line behind an answer | ok and an empty line, ok | POST | 200 ok, 200 ok | 2 | 2 |
+      | the beginning of an answer that nobody asked for | ok and part, ok | POST | 200 ok, 200 ok | 2 | 2 |
+      | two answers at once | eras 1 and 2, ok | POST | 200 ok of era 1, 200 ok | 2 | 2 |
+      | an interim response before the answer | interim and ok, ok | POST | 200 ok, 200 ok | 2 | 1 |
+      | an interim response long before the answer | interim then ok, new | POST | 200 ok, 200 new | 2 | 1 |
+      | an interim response and no answer | interim and end, ok | POST | error, 200 ok | 2 | 2 |
+      | a change to another protocol | another protocol, ok | POST | error, 200 ok | 2 | 2 |
+      | no body | no body, ok | POST | 204 , 200 ok | 2 | 1 |
+      | a body where there is none | no body and more, ok | POST | 204 , 200 ok | 2 | 2 |
+      | a field behind the body | trailer, ok | POST | 200 ok, 200 ok | 2 | 1 |
+      | a field twice | two eras, ok | POST | 200 ok of era 1, 2, 200 ok | 2 | 1 |
+      | a body that the client can't decode | compressed, ok | POST | error, 200 ok | 2 | 2 |
+      | a version that it doesn't speak | HTTP/2.0, ok | POST | error, 200 ok | 2 | 2 |
+      | two lengths | two lengths, ok | POST | error, 200 ok | 2 | 2 |
+      | bare line feeds | bare line feeds, ok | POST | error, 200 ok | 2 | 2 |
+      | a folded field | a folded field, ok | POST | error, 200 ok | 2 | 2 |
+      | endless fields | endless fields, ok | POST | error, 200 ok | 2 | 2 |
 
   Scenario: One silent connection is enough to leave the others that were kept
     Given an HTTP end that has answered 3 requests on as many connections, which then go silent
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -13,6 +14,7 @@
 from fescuequay_entry.relay.http_server import Answer, HttpServer, Request
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
 from fescuequay_entry.relay.peers import HttpPeers
+from features.http_ends import EMPTY, ScriptedEnd
 
 _HOST: Final = '127.0.0.1'
 _KEEP_ALIVE_S: Final = 5.0
@@ -23,25 +25,6 @@
 
 _VALID: Final = b'POST /echo HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok'
 
-_OK: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
-
-_EMPTY: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
-
-_BYTES_BY_ANSWER: Final = {
-    'ok': _OK,
-    'chunked': b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
-    'until the end': b'HTTP/1.1 200 OK\r\n\r\nok',
-    'ok and close': b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok',
-    'half': b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok',
-    'rubbish': b'\x00\x01 rubbish\r\n\r\n',
-    'end': b'',
-    'silence': b'',
-    'ok and more': _OK + b'more',
-}
-
-#: Answers after which the end closes the connection.
-_CLOSING: Final = frozenset(('until the end', 'ok and close', 'half', 'end'))
-
 
 class _Lines(logging.Handler):
     """Collects log lines."""
@@ -168,47 +151,31 @@
         self.number = 0
 
 
-class _ScriptedEnd:
-    """Answers each request with the next answer of a script."""
-
-    def __init__(self, answers: list[str]) -> None:
-        self._answers = answers
-        self.requests = 0
-        self.connections = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> str:
-        """:returns: Its address."""
-        self._server = await asyncio.start_server(self._serve, _HOST, 0)
-        return f'{_HOST}:{self._server.sockets[0].getsockname()[1]}'
+@given('an HTTP end that answers {answers}')
+def step_end(context: Any, answers: str) -> None:
+    context.end = ScriptedEnd(answers.split(', '))
 
-    def stop(self) -> None:
-        """Stop listening."""
-        assert self._server is not None
-        self._server.close()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        try:
-            while await reader.readuntil(b'\r\n\r\n'):
-                self.requests += 1
-                answer = self._answers.pop(0)
-                writer.write(_BYTES_BY_ANSWER[answer])
-                if answer in _CLOSING:
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        finally:
-            writer.close()
+async def _let_answers_arrive() -> None:
+    await asyncio.sleep(0.02)
 
 
-@given('an HTTP end that answers {answers}')
-def step_end(context: Any, answers: str) -> None:
-    context.end = _ScriptedEnd(answers.split(', '))
+async def _hold_event_loop() -> None:
+    # The event loop doesn't see what arrives meanwhile.
+    time.sleep(0.05)
 
 
 @when('a client sends {method} twice')
 def step_twice(context: Any, method: str) -> None:
+    _send_twice(context, method, _let_answers_arrive)
+
+
+@when('a client sends {method} twice, and its event loop is held up between them')
+def step_twice_held(context: Any, method: str) -> None:
+    _send_twice(context, method, _hold_event_loop)
+
+
+def _send_twice(context: Any, method: str, pause: Callable[[], Awaitable[None]]) -> None:
     async def ask(client: HttpClient, address: str) -> str:
         try:
             async with asyncio.timeout(_SILENCE_S):
@@ -217,7 +184,8 @@
             return 'error'
         except TimeoutError:
             return 'timeout'
-        return f'{response.status} {response.body.decode()}'
+        era = response.headers_by_name.get('era')
+        return f'{response.status} {response.body.decode()}' + (f' of era {era}' if era else '')
 
     async def run() -> list[str]:
         address = await context.end.start()
@@ -225,8 +193,7 @@
         results = []
         for _ in range(2):
             results.append(await ask(client, address))
-            # Lets the end of a connection arrive.
-            await asyncio.sleep(0.02)
+            await pause()
         client.close()
         context.end.stop()
         return results
@@ -264,7 +231,7 @@
                 if opened_in == present.number:
                     # Late enough for all first requests to be under way at a time.
                     await asyncio.sleep(_SILENCE_S / 5)
-                    writer.write(_EMPTY)
+                    writer.write(EMPTY)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
@@ -319,7 +286,7 @@
 @when('a client sends a request to a port at which nobody listens')
 def step_refused(context: Any) -> None:
     async def run() -> None:
-        end = _ScriptedEnd([])
+        end = ScriptedEnd([])
         address = await end.start()
         end.stop()
         await asyncio.sleep(0)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import logging
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -10,6 +12,7 @@
 
 from fescuequay_entry.relay import tcp_options
 from fescuequay_entry.relay.authority import Authority, AuthorityEnded, run_within
+from fescuequay_entry.relay.board import log_event
 
 #: Idle time after which a kept connection is not used again, in seconds; shorter than that of the listeners.
 _KEEP_ALIVE_S: Final = 20.0
@@ -17,6 +20,21 @@
 #: Largest body of a response, in bytes; a page of the table's rows has 1 MB.
 _MAX_BODY_BYTES: Final = 8_388_608
 
+#: Largest size of the header fields of a response, in bytes.
+_MAX_FIELD_BYTES: Final = 65_536
+
+#: Most bytes of one response: its interim responses, its fields and its body with the sizes of its chunks.
+_MAX_RESPONSE_BYTES: Final = 2 * _MAX_BODY_BYTES
+
+#: Versions of HTTP whose responses the client reads.
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
+
+#: Statuses of responses that can't be used: those below the first of HTTP, and a change to another protocol.
+_UNUSABLE_STATUSES: Final = frozenset((*range(HTTPStatus.CONTINUE), HTTPStatus.SWITCHING_PROTOCOLS))
+
+#: Maximum length of a field in an error.
+_DETAIL_CHARACTERS: Final = 40
+
 
 class HttpError(Exception):
     """A request got no complete response.
@@ -45,9 +63,13 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection; the parser of the library calls the ``on_`` methods."""
+    """One connection; the parser of the library calls the ``on_`` methods.
 
-    def __init__(self) -> None:
+    :param address: Address of the other end.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
         self.idle_since = 0.0
         #: Whether the latest request was sent.
         self.is_sent = False
@@ -55,7 +77,9 @@
         self._parser: Any = None
         self._headers_by_name: dict[str, str] = {}
         self._body: list[bytes] = []
-        self._size = 0
+        self._body_size = 0
+        self._field_size = 0
+        self._received = 0
         self._has_headers = False
         self._has_response = False
         self._response: asyncio.Future[Response] | None = None
@@ -68,13 +92,20 @@
     def data_received(self, received: bytes) -> None:
         """Parse a part of a response; bytes that belong to no request end the connection."""
         if self._response is None or self._response.done():
-            self.close()
+            self._close_surplus(len(received))
             return
         self._has_response = True
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            self._fail(f'malformed response: {error}')
+        self._received += len(received)
+        if self._received > _MAX_RESPONSE_BYTES:
+            self._fail(f'response longer than {_MAX_RESPONSE_BYTES} bytes')
+            return
+        # Parsed by itself, the last byte shows whether the response ended before it.
+        view = memoryview(received)
+        self._parse(view[:-1])
+        if self._response.done():
+            self._close_surplus(len(received))
+        else:
+            self._parse(view[-1:])
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the response; one without a length ends with the connection."""
@@ -108,7 +139,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers_by_name = {}
         self._body = []
-        self._size = 0
+        self._body_size = self._field_size = self._received = 0
         self._has_headers = self._has_response = False
         self.is_sent = False
         self._response = asyncio.get_running_loop().create_future()
@@ -129,30 +160,68 @@
             self._transport.abort()
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Keep a header."""
-        self._headers_by_name[name.decode('latin-1').lower()] = content.decode('latin-1')
+        """Keep a header; fields behind the body are none, and those of the same name are one list."""
+        if self._has_headers:
+            return
+        self._field_size += len(name) + len(content)
+        if self._field_size > _MAX_FIELD_BYTES:
+            self._fail(f'header fields longer than {_MAX_FIELD_BYTES} bytes')
+            return
+        key = name.decode('latin-1').lower()
+        text = content.decode('latin-1').strip(' \t')
+        before = self._headers_by_name.get(key)
+        self._headers_by_name[key] = text if before is None else f'{before}, {text}'
 
     def on_headers_complete(self) -> None:
-        """Note that the body begins."""
+        """Note that the body begins, and check that its end can be told."""
+        if self._has_headers:
+            return
         self._has_headers = True
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self._fail(f'response of HTTP version {version}')
+        coding = self._headers_by_name.get('transfer-encoding', 'chunked')
+        if coding.lower() != 'chunked':
+            self._fail(f'response with unsupported transfer coding {coding[:_DETAIL_CHARACTERS]!r}')
 
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
-        self._size += len(part)
-        if self._size > _MAX_BODY_BYTES:
+        self._body_size += len(part)
+        if self._body_size > _MAX_BODY_BYTES:
             self._fail(f'response longer than {_MAX_BODY_BYTES} bytes')
             return
         self._body.append(part)
 
     def on_message_complete(self) -> None:
-        """Hand the response over."""
+        """Hand the response over, unless it is an interim one, behind which the final one follows."""
         if self._response is None or self._response.done():
             return
         status = self._parser.get_status_code()
+        if status in _UNUSABLE_STATUSES:
+            self._fail(f'response with status {status}')
+            return
+        if status < HTTPStatus.OK:
+            self._headers_by_name = {}
+            self._has_headers = False
+            return
         if not self._parser.should_keep_alive():
             self.close()
         self._response.set_result(Response(status, self._headers_by_name, b''.join(self._body)))
 
+    def _close_surplus(self, size: int) -> None:
+        """Close the connection, since nobody can tell to which request the bytes behind a response belong."""
+        if self.is_open:
+            log_event('surplus_response_bytes', level=logging.WARNING, address=self._address, size=size)
+        self.close()
+
+    def _parse(self, part: memoryview) -> None:
+        if not part:
+            return
+        try:
+            self._parser.feed_data(part)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f'malformed response: {error}')
+
     def _fail(self, detail: str) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(HttpError(detail))
@@ -289,7 +358,9 @@
 async def _connect(address: str) -> _Connection:
     host, _, port = address.rpartition(':')
     try:
-        _, connection = await asyncio.get_running_loop().create_connection(_Connection, host, int(port))
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: _Connection(address), host, int(port)
+        )
     except (OSError, ValueError, OverflowError) as error:
         raise HttpError(f'{type(error).__name__} {error}', is_unsent=True) from error
     return connection
