Take nothing that arrived before a request for its response

Callers of the HTTP client got a response that the other end had sent before their request, while the event loop was held up: a write or a promotion counted as done by the answer to nothing. Cause: bytes on an idle connection end it only once the event loop has read them, and the request was sent first. Now the client asks the kernel right before it writes; a connection on which bytes or its end wait is closed, and the request, of which nothing was sent, goes over a new one.

--- a/features/http.feature
+++ b/features/http.feature
@@ -69,6 +69,11 @@
       | a folded field | a folded field, ok | POST | error, 200 ok | 2 | 2 |
       | endless fields | endless fields, ok | POST | error, 200 ok | 2 | 2 |
 
+  Scenario: An answer that arrived before its request is not taken for the answer
+    Given an HTTP end that answers ok then new, ok
+    When a client sends POST twice, and its event loop is held up between them
+    Then the results are 200 ok, 200 ok
+
   Scenario: One silent connection is enough to leave the others that were kept
     Given an HTTP end that has answered 3 requests on as many connections, which then go silent
     When a client sends it 2 requests, each with a time limit
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -162,7 +162,7 @@
 
 async def _hold_event_loop() -> None:
     # The event loop doesn't see what arrives meanwhile.
-    time.sleep(0.05)
+    time.sleep(0.1)
 
 
 @when('a client sends {method} twice')
@@ -187,14 +187,19 @@
         era = response.headers_by_name.get('era')
         return f'{response.status} {response.body.decode()}' + (f' of era {era}' if era else '')
 
-    async def run() -> list[str]:
-        address = await context.end.start()
+    async def ask_twice(address: str) -> list[str]:
         client = HttpClient()
         results = []
         for _ in range(2):
             results.append(await ask(client, address))
             await pause()
         client.close()
+        return results
+
+    async def run() -> list[str]:
+        address = await context.end.start()
+        # On an event loop of its own, so that the other end goes on while the client's is held up.
+        results = await asyncio.to_thread(asyncio.run, ask_twice(address))
         context.end.stop()
         return results
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -136,22 +136,21 @@
         :returns: The response.
         :raises HttpError: There was no complete one.
         """
+        self.is_sent = False
+        transport = self._unused_transport()
+        if authority is not None:
+            left_s = authority.left_s()
+            if left_s <= 0:
+                raise HttpError('the authority ended before the request was sent', is_unsent=True)
+            tcp_options.drop_unacknowledged_after(transport, left_s)
         self._parser = httptools.HttpResponseParser(self)
         self._headers_by_name = {}
         self._body = []
         self._body_size = self._field_size = self._received = 0
         self._has_headers = self._has_response = False
-        self.is_sent = False
         self._response = asyncio.get_running_loop().create_future()
-        if self._transport is None:
-            raise HttpError('connection closed')
-        if authority is not None:
-            left_s = authority.left_s()
-            if left_s <= 0:
-                raise HttpError('the authority ended before the request was sent', is_unsent=True)
-            tcp_options.drop_unacknowledged_after(self._transport, left_s)
         self.is_sent = True
-        self._transport.write(message)
+        transport.write(message)
         return await self._response
 
     def close(self) -> None:
@@ -208,6 +207,17 @@
             self.close()
         self._response.set_result(Response(status, self._headers_by_name, b''.join(self._body)))
 
+    def _unused_transport(self) -> asyncio.Transport:
+        """:returns: The transport, on which nothing has arrived that the event loop has yet to read.
+
+        :raises HttpError: There is none; what has arrived can't be the response to a request that is still to be sent.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise HttpError('connection closed', is_unsent=True)
+        if tcp_options.has_arrived(self._transport):
+            raise HttpError('bytes or the end of the connection arrived before the request was sent', is_unsent=True)
+        return self._transport
+
     def _close_surplus(self, size: int) -> None:
         """Close the connection, since nobody can tell to which request the bytes behind a response belong."""
         if self.is_open:
@@ -269,7 +279,7 @@
             except HttpError:
                 # The other end may close a kept connection at any time. Only a read is sent again, and only if
                 # nothing of the response has arrived.
-                if method != 'GET' or connection.has_response:
+                if connection.is_sent and (method != 'GET' or connection.has_response):
                     raise
         return await self._send(await _connect_within(address, authority), address, message, authority)
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/tcp_options.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/tcp_options.py
@@ -1,6 +1,7 @@
 """Options of TCP connections: when silence is noticed, and what becomes of bytes that have not arrived at a close."""
 
 import asyncio
+import select
 import socket
 import struct
 from typing import Final
@@ -48,3 +49,10 @@
     """
     limit_ms = max(int(limit_s * _MS_PER_S), 1)
     transport.get_extra_info('socket').setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
+def has_arrived(transport: asyncio.BaseTransport) -> bool:
+    """:returns: Whether bytes, or the end of the connection, wait to be read by the event loop."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket').fileno(), select.POLLIN)
+    return bool(poll.poll(0))
