--- a/features/http.feature
+++ b/features/http.feature
@@ -74,6 +74,11 @@
     When a client sends POST twice, and its event loop is held up between them
     Then the results are 200 ok, 200 ok
 
+  Scenario: A promotion does not count as done by an answer that was under way as it was requested
+    Given an HTTP end that answers ok then new, conflict
+    When two promotions are requested, one right after the other
+    Then the results are accepted, refused
+
   Scenario: One silent connection is enough to leave the others that were kept
     Given an HTTP end that has answered 3 requests on as many connections, which then go silent
     When a client sends it 2 requests, each with a time limit
--- a/features/http_ends.py
+++ b/features/http_ends.py
@@ -43,6 +43,7 @@
     'two eras': (_ERA_1.replace(b'Era: 1', b'Era: 1\r\nEra: 2'),),
     'compressed': (_CHUNKED.replace(b'chunked', b'gzip, chunked') + b'\r\n',),
     'HTTP/2.0': (_OK.replace(b'1.1', b'2.0'),),
+    'conflict': (_OK.replace(b'200 OK', b'409 Conflict'),),
     'two lengths': (_OK.replace(b'\r\n\r\n', b'\r\nContent-Length: 3\r\n\r\n'),),
     'bare line feeds': (_OK.replace(b'\r\n', b'\n'),),
     'a folded field': (_OK.replace(b'\r\n\r\n', b'\r\nEra: 1\r\n 2\r\n\r\n'),),
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -10,10 +10,13 @@
 from hypothesis import given as any_of
 from hypothesis import settings, strategies
 
+from fescuequay_core.types import InstanceId, ServiceId, TargetId
+from fescuequay_entry.relay.authority import Authority
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
 from fescuequay_entry.relay.http_server import Answer, HttpServer, Request
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
 from fescuequay_entry.relay.peers import HttpPeers
+from fescuequay_platform.store import PlatformPromoter
 from features.http_ends import EMPTY, ScriptedEnd
 
 _HOST: Final = '127.0.0.1'
@@ -206,6 +209,27 @@
     context.results = asyncio.run(run())
 
 
+class _Lease(Authority):
+    """A lease that lasts for as long as a test."""
+
+    def left_s(self) -> float:
+        return _TIMEOUT_S
+
+
+@when('two promotions are requested, one right after the other')
+def step_promotions(context: Any) -> None:
+    async def run() -> list[str]:
+        promoter = PlatformPromoter(HttpClient(), await context.end.start())
+        results = []
+        for token in (1, 2):
+            outcome = await promoter.promote(ServiceId('s'), TargetId('i-1'), InstanceId('a'), token, _Lease())
+            results.append(outcome.name.lower())
+        context.end.stop()
+        return results
+
+    context.results = asyncio.run(run())
+
+
 @then('the results are {results}')
 def step_results(context: Any, results: str) -> None:
     assert ', '.join(context.results) == results, context.results
