Answer pipelined HTTP requests in order, and handle nothing behind one that can't be parsed

Peers that sent a malformed request behind others got 400 as the answer to the first of them, which was cancelled while it was handled. A request behind the last one (Connection: close) had the same effect. The request that asks for an upgrade, and one that opens a tunnel, were handled though 400 was their answer. Bodies with another transfer coding, HTTP/2.0 and requests without a version were taken for HTTP/1.1. All requests of one read were handled, however many there were.

Cause: the refusal was written at once by the parser's side, beside the queue of the requests that wait for answers. Now it is an entry of that queue and the last one; what the parser reports behind it, or behind the last request of a connection, is no request. Other codings are refused with 501, other versions with 505, and requests beyond the limit of those that wait with 413, also within one read.

--- a/features/http.feature
+++ b/features/http.feature
@@ -24,6 +24,33 @@
       | a request that its handler can't serve | POST /fail HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n | 500 |
       | the last request of a connection | POST /echo HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nz | 200 z |
 
+  Scenario Outline: The listener gets <what> behind a request that it answers slowly
+    Given a listener that echoes the body of a POST to /echo
+    When it gets a request that it answers slowly, and behind it <bytes>
+    Then it first answers the slow one: <statuses>
+    And it has handled the requests <handled>
+    And it logged at most one line of at most 300 characters
+
+    Examples:
+      | what | bytes | statuses | handled |
+      | the last request and another one | POST /echo HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nbPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 200 b | a, b |
+      | no HTTP and a request | \x00\r\n\r\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | a bare line feed before a request | POST /echo HTTP/1.1\r\nA: b\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | two lengths | POST /echo HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 50\r\n\r\ncPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | a wrong size of a chunk | POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nbbPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | a negative length | POST /echo HTTP/1.1\r\nContent-Length: -1\r\n\r\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | a folded header | POST /echo HTTP/1.1\r\nContent-Length:\r\n 1\r\n\r\nb | 200 a, 400 | a |
+      | an upgrade | POST /echo HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\nb | 200 a, 400 | a |
+      | a tunnel | CONNECT /echo HTTP/1.1\r\n\r\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 400 | a |
+      | a compressed body | POST /echo HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nb\r\n0\r\n\r\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 501 | a |
+      | another version | POST /echo HTTP/2.0\r\nContent-Length: 1\r\n\r\nb | 200 a, 505 | a |
+      | no version | GET /echo\r\n\r\nPOST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc | 200 a, 505 | a |
+
+  Scenario: No more requests of one read are handled than may wait for their answers
+    Given a listener that echoes the body of a POST to /echo
+    When a slow request is followed by 40 requests
+    Then it handles at most 17 of them, answers those first and the next one with 413
+
   Scenario: A request that is longer than the limit is answered before it has arrived
     Given a listener that echoes the body of a POST to /echo
     When it gets 3 MB of a request of 100 MB
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -13,7 +13,7 @@
 from fescuequay_core.types import InstanceId, ServiceId, TargetId
 from fescuequay_entry.relay.authority import Authority
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
-from fescuequay_entry.relay.http_server import Answer, HttpServer, Request
+from fescuequay_entry.relay.http_server import Answer, HttpServer, Request, Routes
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
 from fescuequay_entry.relay.peers import HttpPeers
 from fescuequay_platform.store import PlatformPromoter
@@ -26,6 +26,9 @@
 #: Time that the client waits for an end that stays silent, in seconds.
 _SILENCE_S: Final = 0.1
 
+#: Time of a slow answer, in seconds.
+_SLOW_S: Final = 0.05
+
 _VALID: Final = b'POST /echo HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok'
 
 
@@ -60,12 +63,12 @@
         writer.transport.abort()
 
 
-def _with_server(step: Callable[[int], Awaitable[Any]]) -> tuple[Any, list[str]]:
+def _with_server(step: Callable[[int], Awaitable[Any]], routes: Routes | None = None) -> tuple[Any, list[str]]:
     """Run a step against a server, and collect what is logged."""
     handler = _Lines()
 
     async def run() -> Any:
-        server = HttpServer({('POST', '/echo'): _echo, ('POST', '/fail'): _fail}, _KEEP_ALIVE_S)
+        server = HttpServer({('POST', '/echo'): _echo, ('POST', '/fail'): _fail, **(routes or {})}, _KEEP_ALIVE_S)
         await server.start(_HOST, 0)
         try:
             return await step(server.port)
@@ -101,6 +104,36 @@
     (context.received, context.later), context.lines = _with_server(ask)
 
 
+def _send_behind_slow(context: Any, sent: bytes) -> None:
+    """Send bytes behind a request whose answer takes a while, and note the requests that are handled."""
+    context.handled = []
+
+    async def handle(request: Request) -> Answer:
+        context.handled.append(request.body.decode())
+        await asyncio.sleep(_SLOW_S if request.path == '/slow' else 0)
+        return Answer(body=request.body)
+
+    async def ask(port: int) -> bytes:
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(b'POST /slow HTTP/1.1\r\nContent-Length: 1\r\n\r\na' + sent)
+        received = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+        writer.close()
+        return received
+
+    routes = {(method, path): handle for method in ('GET', 'POST', 'CONNECT') for path in ('/slow', '/echo')}
+    context.received, context.lines = _with_server(ask, routes)
+
+
+@when('it gets a request that it answers slowly, and behind it {text}')
+def step_bytes_behind(context: Any, text: str) -> None:
+    _send_behind_slow(context, text.encode().decode('unicode_escape').encode('latin-1'))
+
+
+@when('a slow request is followed by {count:d} requests')
+def step_requests_behind(context: Any, count: int) -> None:
+    _send_behind_slow(context, b'POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nb' * count)
+
+
 @when('it gets {size:d} MB of a request of {total:d} MB')
 def step_large(context: Any, size: int, total: int) -> None:
     head = f'POST /echo HTTP/1.1\r\nContent-Length: {total * 1_000_000}\r\n\r\n'.encode()
@@ -120,6 +153,23 @@
     assert _describe(context.received) == answers, context.received
 
 
+@then('it first answers the slow one: {answers}')
+def step_ordered_answers(context: Any, answers: str) -> None:
+    assert _describe(context.received) == answers, context.received
+
+
+@then('it has handled the requests {bodies}')
+def step_handled(context: Any, bodies: str) -> None:
+    assert ', '.join(context.handled) == bodies, context.handled
+
+
+@then('it handles at most {count:d} of them, answers those first and the next one with {status:d}')
+def step_most_handled(context: Any, count: int, status: int) -> None:
+    handled = ['200 a', *('200 b' for _ in context.handled[1:])]
+    assert _describe(context.received) == ', '.join((*handled, str(status))), context.received
+    assert 1 < len(handled) <= count, handled
+
+
 @then('it logged at most one line of at most {length:d} characters')
 def step_lines(context: Any, length: int) -> None:
     assert len(context.lines) <= 1 and all(len(line) <= length for line in context.lines), context.lines
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -17,6 +17,9 @@
 #: Most requests of one connection that wait for their answers.
 _MAX_PIPELINED: Final = 16
 
+#: Versions of HTTP that the server speaks.
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
+
 #: Backlog of connections that wait to be accepted: all peers may connect at once.
 _BACKLOG: Final = 256
 
@@ -165,7 +168,9 @@
         self._body: list[bytes] = []
         self._size = 0
         self._sender = '-'
-        self._requests: asyncio.Queue[tuple[Request, bool]] = asyncio.Queue()
+        # Requests to answer, and the refusal of what can't be parsed, with whether the connection is kept after it.
+        self._requests: asyncio.Queue[tuple[Request | Answer, bool]] = asyncio.Queue()
+        self._is_ended = False
         self._answering: asyncio.Task[None] | None = None
         self._closing: asyncio.TimerHandle | None = None
         self._unread: asyncio.TimerHandle | None = None
@@ -216,17 +221,17 @@
             self._unread.cancel()
 
     def data_received(self, received: bytes) -> None:
-        """Parse a part of a request."""
+        """Parse a part of a request; nothing behind the last one or behind what can't be parsed is a request."""
+        if self._is_ended:
+            return
         self._restart_timer()
         self._size += len(received)
-        if self._size > _MAX_REQUEST_BYTES or self._requests.qsize() > _MAX_PIPELINED:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'too long or too many requests')
+        if self._size > _MAX_REQUEST_BYTES:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'request too long')
             return
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade requested')
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._reject(HTTPStatus.BAD_REQUEST, str(error))
 
     def close(self) -> None:
@@ -249,6 +254,19 @@
         """Keep a part of the URL."""
         self._url += part
 
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Refuse a body in a coding that is not decoded."""
+        if name.lower() == b'transfer-encoding' and content.strip(b' \t').lower() != b'chunked':
+            self._reject(HTTPStatus.NOT_IMPLEMENTED, 'unsupported transfer coding')
+
+    def on_headers_complete(self) -> None:
+        """Refuse other versions, and changes to other protocols, behind which no HTTP follows."""
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self._reject(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, f'HTTP version {version}')
+        if self._parser.should_upgrade():
+            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade requested')
+
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
         self._body.append(part)
@@ -256,10 +274,16 @@
     def on_message_complete(self) -> None:
         """Queue the request."""
         self._size = 0
+        if self._requests.qsize() >= _MAX_PIPELINED:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'too many requests')
+        if self._is_ended:
+            return
         path = self._url.split(b'?')[0].decode('latin-1')
         method = self._parser.get_method().decode('latin-1')
         request = Request(method, path, b''.join(self._body), self._sender)
-        self._requests.put_nowait((request, self._parser.should_keep_alive()))
+        is_kept = self._parser.should_keep_alive()
+        self._is_ended = not is_kept
+        self._requests.put_nowait((request, is_kept))
 
     async def _answer_all(self) -> None:
         while True:
@@ -268,7 +292,10 @@
             self._is_answering = True
             self._connections.record_request(self)
             await self._may_write.wait()
-            answer = _OVERLOADED if self._connections.is_full() else await self._answer(request)
+            if isinstance(request, Answer):
+                answer = request
+            else:
+                answer = _OVERLOADED if self._connections.is_full() else await self._answer(request)
             if self._transport is None:
                 return
             self._transport.write(_encode(answer, is_kept=is_kept))
@@ -294,12 +321,12 @@
             return Answer(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _reject(self, status: HTTPStatus, detail: str) -> None:
-        """Answer a request that can't be parsed, log one line, and close the connection."""
-        if self._transport is None or self._transport.is_closing():
+        """Log one line, refuse what can't be parsed after the requests before it, and then close the connection."""
+        if self._is_ended:
             return
+        self._is_ended = True
         log_event('bad_http_request', level=logging.WARNING, sender=self._sender, detail=detail[:_DETAIL_CHARACTERS])
-        self._transport.write(_encode(Answer(status), is_kept=False))
-        self.close()
+        self._requests.put_nowait((Answer(status), False))
 
     def _restart_timer(self) -> None:
         if self._closing is not None:
