Check the head of each HTTP message where its bytes are produced

A path, a header or the address of a peer with a line end in it was written as it stood: the other end took what follows for the end of the head and for another request. "127.0.0.1:80\r\n\r\n" passed as an address too, since int() ignores blanks. A character beyond Latin-1 raised UnicodeEncodeError, which no caller of the client expects. A second Content-Length of a caller was written beside the client's. The listener wrote a media type as it stood.

Client and listener now encode heads at one place, which raises HeadError: methods and names are tokens, targets printable ASCII, contents without control characters or blanks at their ends, no name twice, no field that gives the body another end. The client reports it as HttpError with is_unsent, as its callers expect; the listener logs handler_failed and answers with 500.

--- a/features/http.feature
+++ b/features/http.feature
@@ -119,3 +119,34 @@
   Scenario: A connection that is refused says that nothing was sent
     When a client sends a request to a port at which nobody listens
     Then the error says that nothing was sent
+
+  Scenario Outline: A client is asked to send <what>
+    Given an HTTP end that answers ok
+    When a client sends <part> as <text>
+    Then the error says that nothing was sent
+    And the end got 0 requests on 0 connections
+
+    Examples:
+      | what | part | text |
+      | a path with a line end | path | /x HTTP/1.1\r\nA: b\r\n\r\nGET /y |
+      | a path with a blank | path | /x y |
+      | a path with a NUL | path | /x\x00 |
+      | a path that doesn't begin with a slash | path | x |
+      | a method with a line end | method | GET /y HTTP/1.1\r\n\r\nPOST |
+      | a header with a line end | header | a\r\n\r\nGET /y HTTP/1.1\r\n\r\n |
+      | a header with a line feed | header | a\nB: c |
+      | a header with a carriage return | header | a\rB: c |
+      | a header with a NUL | header | a\x00 |
+      | a header that no byte stands for | header | a\u2028b |
+      | a name of a header with a line end | name | A: b\r\nB |
+      | a name of a header with a colon | name | A:B |
+      | a second length | name | content-length |
+      | another coding of the body | name | Transfer-Encoding |
+      | an address with a line end | address suffix | \r\n\r\n |
+      | an address with a blank | address suffix | \x20 |
+
+  Scenario: An answer with a line end in its media type is not sent
+    Given a listener that echoes the body of a POST to /echo
+    When it gets the bytes POST /split HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n
+    Then it answers with 500
+    And it logged at most one line of at most 300 characters
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -51,6 +51,13 @@
     raise ValueError('x' * 1000)
 
 
+async def _split(_request: Request) -> Answer:
+    return Answer(content_type='text/plain\r\n\r\nHTTP/1.1 200 OK')
+
+
+_ROUTES: Final = {('POST', '/echo'): _echo, ('POST', '/fail'): _fail, ('POST', '/split'): _split}
+
+
 async def _send(port: int, sent: bytes) -> bytes:
     reader, writer = await asyncio.open_connection(_HOST, port)
     try:
@@ -68,7 +75,7 @@
     handler = _Lines()
 
     async def run() -> Any:
-        server = HttpServer({('POST', '/echo'): _echo, ('POST', '/fail'): _fail, **(routes or {})}, _KEEP_ALIVE_S)
+        server = HttpServer({**_ROUTES, **(routes or {})}, _KEEP_ALIVE_S)
         await server.start(_HOST, 0)
         try:
             return await step(server.port)
@@ -377,6 +384,25 @@
     asyncio.run(run())
 
 
+@when('a client sends {part} as {text}')
+def step_odd_request(context: Any, part: str, text: str) -> None:
+    odd = text.encode().decode('unicode_escape')
+    method, path = odd if part == 'method' else 'POST', odd if part == 'path' else '/x'
+    headers = {odd: 'a'} if part == 'name' else {'A': odd if part == 'header' else 'a'}
+
+    async def run() -> None:
+        address = await context.end.start() + (odd if part == 'address suffix' else '')
+        try:
+            await asyncio.wait_for(HttpClient().request(method, address, path, headers=headers), _TIMEOUT_S)
+        except HttpError as error:
+            context.error = error
+        # Lets a request that was sent nevertheless arrive.
+        await asyncio.sleep(0.02)
+        context.end.stop()
+
+    asyncio.run(run())
+
+
 @then('the error says that nothing was sent')
 def step_unsent(context: Any) -> None:
     assert context.error.is_unsent, context.error
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_client.py
@@ -13,6 +13,7 @@
 from fescuequay_entry.relay import tcp_options
 from fescuequay_entry.relay.authority import Authority, AuthorityEnded, run_within
 from fescuequay_entry.relay.board import log_event
+from fescuequay_entry.relay.http_head import HeadError, encode_request
 
 #: Idle time after which a kept connection is not used again, in seconds; shorter than that of the listeners.
 _KEEP_ALIVE_S: Final = 20.0
@@ -268,7 +269,7 @@
         :param is_fresh: Whether to open a new connection, since one that was kept may have gone silent.
         :param authority: Authority for a request that changes something. The request is sent only while it lasts, and
             given up when it ends, at the latest as it stands at the moment of sending.
-        :raises HttpError: There was no complete response.
+        :raises HttpError: There was no complete response, or the request can't be encoded.
         """
         target = f'{path}?{urlencode(query)}' if query else path
         message = _encode(method, address, target, body, headers or {})
@@ -377,8 +378,11 @@
 
 
 def _encode(method: str, address: str, target: str, body: bytes, headers: Mapping[str, str]) -> bytes:
-    lines = [f'{method} {target} HTTP/1.1', f'Host: {address}', f'Content-Length: {len(body)}']
+    """:returns: The bytes of a request. :raises HttpError: A part of its head is malformed."""
+    fields = [('Host', address), ('Content-Length', str(len(body)))]
     if body:
-        lines.append('Content-Type: application/json')
-    lines.extend(f'{name}: {content}' for name, content in headers.items())
-    return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
+        fields.append(('Content-Type', 'application/json'))
+    try:
+        return encode_request(method, target, (*fields, *headers.items())) + body
+    except HeadError as error:
+        raise HttpError(str(error), is_unsent=True) from error
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -10,6 +10,7 @@
 import httptools
 
 from fescuequay_entry.relay.board import log_event
+from fescuequay_entry.relay.http_head import encode_response
 
 #: Largest size of a request, in bytes; the largest message between instances is a configuration of some 200 KB.
 _MAX_REQUEST_BYTES: Final = 2_097_152
@@ -293,23 +294,25 @@
             self._connections.record_request(self)
             await self._may_write.wait()
             if isinstance(request, Answer):
-                answer = request
+                answer = _encode(request, is_kept=is_kept)
+            elif self._connections.is_full():
+                answer = _encode(_OVERLOADED, is_kept=is_kept)
             else:
-                answer = _OVERLOADED if self._connections.is_full() else await self._answer(request)
+                answer = await self._answer(request, is_kept=is_kept)
             if self._transport is None:
                 return
-            self._transport.write(_encode(answer, is_kept=is_kept))
+            self._transport.write(answer)
             if not is_kept:
                 self.close()
                 return
             self._restart_timer()
 
-    async def _answer(self, request: Request) -> Answer:
+    async def _answer(self, request: Request, *, is_kept: bool) -> bytes:
         handler = self._routes.get((request.method, request.path))
         if handler is None:
-            return Answer(HTTPStatus.NOT_FOUND)
+            return _encode(Answer(HTTPStatus.NOT_FOUND), is_kept=is_kept)
         try:
-            return await handler(request)
+            return _encode(await handler(request), is_kept=is_kept)
         except Exception as error:  # noqa: BLE001 -- one request must not end the process
             log_event(
                 'handler_failed',
@@ -318,7 +321,7 @@
                 path=request.path[:_DETAIL_CHARACTERS],
                 error=repr(error)[:_DETAIL_CHARACTERS],
             )
-            return Answer(HTTPStatus.INTERNAL_SERVER_ERROR)
+            return _encode(Answer(HTTPStatus.INTERNAL_SERVER_ERROR), is_kept=is_kept)
 
     def _reject(self, status: HTTPStatus, detail: str) -> None:
         """Log one line, refuse what can't be parsed after the requests before it, and then close the connection."""
@@ -335,12 +338,10 @@
 
 
 def _encode(answer: Answer, *, is_kept: bool) -> bytes:
-    lines = (
-        f'HTTP/1.1 {answer.status.value} {answer.status.phrase}',
-        f'Content-Type: {answer.content_type}',
-        f'Content-Length: {len(answer.body)}',
-        f'Connection: {"keep-alive" if is_kept else "close"}',
-        '',
-        '',
+    """:returns: The bytes of an answer. :raises HeadError: Its media type is malformed."""
+    fields = (
+        ('Content-Type', answer.content_type),
+        ('Content-Length', str(len(answer.body))),
+        ('Connection', 'keep-alive' if is_kept else 'close'),
     )
-    return '\r\n'.join(lines).encode('latin-1') + answer.body
+    return encode_response(answer.status, fields) + answer.body
