Reject SQL and parameters that the PostgreSQL client would cut at a NUL

A caller's JSON may hold a NUL ("\u0000"). The client library takes it for the end of a text, so the target ran the statement up to it and the caller got a success: a condition behind the NUL is lost, and a parameter "a\0b" was stored as "a". More parameters than a message can count ended the connection, with the verdict that the statement may have run.

Now the driver checks texts where it encodes them and raises TargetError with PostgreSQL's SQLSTATEs, 22021 and 54023, before anything is sent: the verdict is not_run and the connection stays in use. The stand-in read the numbers of parameters as signed: over 32,767 became none.

--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -26,4 +26,5 @@
       | database driver | an open transaction is detected |
       | database driver | a crashed target is lost or unreachable |
       | database driver | a lost connection does not disturb others |
+      | database driver | a statement runs in full or not at all |
       | database driver | connections are limited |
--- a/features/contracts.py
+++ b/features/contracts.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
+import msgspec
+
 from fescuequay_core.events import WriteResult
 from fescuequay_core.requests import Statement
 from fescuequay_core.types import Digest, Role, Term
@@ -210,6 +213,26 @@
         replacement.close()
 
 
+async def statement_runs_in_full_or_not_at_all(subject: tuple[Driver, list[Endpoint]], switches: FaultSwitches) -> None:
+    """A text that a message can't hold as a whole is rejected, and the connection stays in use."""
+    primary = await _open(subject[0], subject[1][0])
+    await primary.execute(Statement('create table t (x text)'))
+    changes = (
+        Statement("insert into t values ('a')\0, ('b')"),
+        Statement('insert into t values ($1)', ('a\0b',)),
+        Statement('insert into t values ($1)', ('a', *('b' for _ in range(65_536)))),
+        Statement('insert into t values ($1)', ('\ud800',)),
+    )
+    rejected = []
+    for statement in changes:
+        with contextlib.suppress(TargetError, ConnectionLostError):
+            await primary.execute(statement)
+            rejected.append(statement.sql)
+    rows = await (await _open(subject[0], subject[1][0])).execute(Statement('select x from t'))
+    assert msgspec.json.decode(rows.body)['rows'] == [], rows.body
+    assert not rejected and primary.is_clean, rejected
+
+
 async def connections_are_limited(subject: tuple[Driver, list[Endpoint]], switches: FaultSwitches) -> None:
     """The target refuses connections beyond its limit before a statement can be sent."""
     for _ in range(3):
@@ -242,6 +265,7 @@
         'an open transaction is detected': open_transaction_is_detected,
         'a crashed target is lost or unreachable': crashed_target_is_lost_or_unreachable,
         'a lost connection does not disturb others': lost_connection_does_not_disturb_others,
+        'a statement runs in full or not at all': statement_runs_in_full_or_not_at_all,
         'connections are limited': connections_are_limited,
     },
 }
--- a/packages/fescuequay-entry/fescuequay_entry/postgres.py
+++ b/packages/fescuequay-entry/fescuequay_entry/postgres.py
@@ -53,6 +53,13 @@
 #: Functions and temporary objects by which statements with a session-neutral tag change the session.
 _SESSION_CHANGES: Final = re.compile(r'set_config|pg_(?:try_)?advisory_lock|temp(?:orary)?\s+(?:table|view)', re.I)
 
+#: SQLSTATEs of texts that PostgreSQL can't hold, and of too many parameters.
+_NOT_IN_REPERTOIRE: Final = '22021'
+_TOO_MANY_PARAMS: Final = '54023'
+
+#: Most parameters of a statement; their number has 16 bits in a message.
+_MAX_PARAMS: Final = 65_535
+
 _INTEGER_OIDS: Final = frozenset((20, 21, 23, 26))
 _FLOAT_OIDS: Final = frozenset((700, 701))
 _BOOL_OID: Final = 16
@@ -165,10 +172,11 @@
         pgconn = self._raw.pgconn
         if pgconn.status != pq.ConnStatus.OK:
             raise ConnectionLostError('the connection is closed')
+        command, arguments = _encode_statement(sql, params)
         # Mark the connection as unfit for reuse until the answer is complete.
         was_tainted, self._is_tainted = self._is_tainted, True
         try:
-            pgconn.send_query_params(sql.encode(), [_encode_param(value) for value in params])
+            pgconn.send_query_params(command, arguments)
             outcomes = await self._receive_results()
         except (psycopg.Error, OSError) as error:
             raise ConnectionLostError(f'the connection was lost: {error}') from None
@@ -268,13 +276,34 @@
         return PostgresConnection(raw, endpoint)
 
 
+def _encode_statement(sql: str, params: tuple[object, ...]) -> tuple[bytes, list[bytes | None]]:
+    """Encode a statement for the client library, which takes a NUL for the end of a text.
+
+    :param sql: Its text.
+    :param params: Its parameters.
+    :returns: Text and parameters.
+    :raises TargetError: A message can't hold them as a whole; nothing was sent.
+    """
+    if len(params) > _MAX_PARAMS:
+        raise TargetError(f'a statement has at most {_MAX_PARAMS} parameters, not {len(params)}', _TOO_MANY_PARAMS)
+    return _encode_text(sql), [_encode_param(value) for value in params]
+
+
 def _encode_param(value: object) -> bytes | None:
-    """Encode a JSON value as the text form of a parameter."""
+    """Encode a JSON value as the text form of a parameter. :raises TargetError: It has no such form."""
     if value is None:
         return None
-    if isinstance(value, str):
-        return value.encode()
-    return _ENCODER.encode(value)
+    return _encode_text(value) if isinstance(value, str) else _ENCODER.encode(value)
+
+
+def _encode_text(text: str) -> bytes:
+    try:
+        raw = text.encode()
+    except UnicodeEncodeError:
+        raise TargetError('a text with half of a surrogate pair', _NOT_IN_REPERTOIRE) from None
+    if b'\0' in raw:
+        raise TargetError('a text with a NUL', _NOT_IN_REPERTOIRE)
+    return raw
 
 
 def _decode_status(outcome: Any) -> TargetStatus:
--- a/packages/fescuequay-standins/fescuequay_standins/wire.py
+++ b/packages/fescuequay-standins/fescuequay_standins/wire.py
@@ -331,9 +331,9 @@
     """Decode the text parameters of a Bind message; the product sends no other format."""
     offset = body.index(b'\0') + 1
     offset = body.index(b'\0', offset) + 1
-    (formats,) = struct.unpack_from('!h', body, offset)
+    (formats,) = struct.unpack_from('!H', body, offset)
     offset += 2 + 2 * formats
-    (count,) = struct.unpack_from('!h', body, offset)
+    (count,) = struct.unpack_from('!H', body, offset)
     offset += 2
     for _ in range(count):
         (length,) = struct.unpack_from('!i', body, offset)
