Follow no redirect with a request between instances or to the platform, and take no other status for an answer

A peer's or the platform's answer with 307 made the library send a forwarded statement, a write of a row or an object once more, to the place that the answer named; the write counted as done by the second answer. The body of an answer with 302 or 429 was taken for a row, and an object that was refused with 429 for stored. `fescuequay status` took any body for a status.

Cause: aiohttp follows redirects unless told otherwise, and only some statuses were errors. Now no client follows them, the statuses that mean something are listed, and all others raise PlatformError.

--- a/packages/fescuequay-ctl/fescuequay_ctl/operations.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/operations.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from collections.abc import Iterator
+from http import HTTPStatus
 from typing import Any, Final
 
 import aiohttp
@@ -164,8 +165,10 @@
     async def _fetch(self, member: Member, path: str) -> Any:
         timeout = aiohttp.ClientTimeout(total=2)
         try:
-            async with self._http.get(f'http://{member.peer_address}{path}', timeout=timeout) as answer:
-                return msgspec.json.decode(await answer.read())
+            async with self._http.get(
+                f'http://{member.peer_address}{path}', timeout=timeout, allow_redirects=False
+            ) as answer:
+                return msgspec.json.decode(await answer.read()) if answer.status == HTTPStatus.OK else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError, msgspec.DecodeError, RecursionError):
             return None
 
--- a/packages/fescuequay-entry/fescuequay_entry/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/peers.py
@@ -148,6 +148,7 @@
                 data=body,
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
                 skip_auto_headers=_SKIPPED_HEADERS,
             ) as answer:
                 answer_body = await answer.read()
--- a/packages/fescuequay-entry/fescuequay_entry/platform.py
+++ b/packages/fescuequay-entry/fescuequay_entry/platform.py
@@ -18,6 +18,9 @@
 _NOT_MODIFIED_STATUS: Final = 304
 _NOT_FOUND_STATUS: Final = 404
 
+#: Statuses of answers that are understood; any other says nothing about the rows and objects.
+_KNOWN_STATUSES: Final = frozenset((200, 201, 204, _NOT_MODIFIED_STATUS, _NOT_FOUND_STATUS, _CONFLICT_STATUS))
+
 #: Maximum size of an object after decompression, in bytes.
 _MAX_OBJECT_BYTES: Final = 8 * 1024 * 1024
 
@@ -187,7 +190,9 @@
         """:returns: The name of the stored object."""
         packed = zlib.compress(body, 9)
         digest = Digest(hashlib.sha256(packed).hexdigest())
-        await self._request('PUT', f'/objects/{digest}', data=packed)
+        status, _, _ = await self._request('PUT', f'/objects/{digest}', data=packed)
+        if status >= 300:
+            raise PlatformError(f'the object {digest} was not stored: status {status}')
         return digest
 
     async def members(self) -> tuple[Member, ...]:
@@ -208,12 +213,12 @@
         merged = {**self._headers, **(headers or {})}
         try:
             async with self._http.request(
-                method, self._base + path, headers=merged, timeout=self._timeout, **options
+                method, self._base + path, headers=merged, timeout=self._timeout, allow_redirects=False, **options
             ) as answer:
                 body = await answer.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             raise PlatformError(f'{method} {path}: {type(error).__name__}') from None
-        if answer.status >= 500 or answer.status in {400, 422, 428}:
+        if answer.status not in _KNOWN_STATUSES:
             raise PlatformError(f'{method} {path}: status {answer.status}')
         return answer.status, answer.headers, body
 
