Use no connection of the HTTP library on which something arrived before its request

A response that arrived on an idle connection was taken by the library for the answer to the next request, which was not even sent, or sent and then answered by it: a forwarded statement, a write of a row or a message to a peer counted as answered. An answer that named another request was taken for that of the forwarded one, and any status under 300, also 101, for the answer to a message.

Cause: aiohttp's connector checks that a kept connection is open and not too old, but not whether its reader holds a response. The connector of instances and of the command line now closes a connection on which anything has arrived, read by the event loop or not, and takes another one. The answer to a forwarded request must name it, and peers answer with 200 only.

--- a/features/http_library.feature
+++ b/features/http_library.feature
@@ -38,3 +38,23 @@
       | a chunk that ends with a line feed | POST /v1/r/statements HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n{"sql":"no"}\n0\r\n\r\n |
       | another coding | POST /v1/r/statements HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n{"sql":"no"} |
       | no HTTP | \x00\r\n\r\nPOST /v1/r/statements HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n\r\n{"sql":"no"} |
+
+  Scenario Outline: The library doesn't take what arrived before its request for the answer, <when>
+    Given an HTTP end that answers ok then new, conflict
+    When the library sends a write twice, <when>
+    Then the results are 200 ok, 409 ok
+
+    Examples:
+      | when                                             |
+      | and the event loop runs between them             |
+      | and the event loop is held up between them       |
+
+  Scenario Outline: A forwarded request gets <answer>
+    Given an HTTP server that answers everything with <answer>
+    When a forwarded request is requested
+    Then it has failed, and may have run
+
+    Examples:
+      | answer                            |
+      | a change to another protocol      |
+      | the answer to another request     |
--- a/features/steps/http_library_steps.py
+++ b/features/steps/http_library_steps.py
@@ -16,7 +16,8 @@
 from fescuequay_ctl.operations import Operations
 from fescuequay_entry.callers import CallersApi
 from fescuequay_entry.config import Settings
-from fescuequay_entry.peers import PeerClient, PeerError
+from fescuequay_entry.http_session import open_session
+from fescuequay_entry.peers import PeerClient, PeerError, encode_answer
 from fescuequay_entry.platform import HttpPlatform, PlatformError
 
 _HOST: Final = '127.0.0.1'
@@ -79,7 +80,8 @@
         async with aiohttp.ClientSession() as http:
             try:
                 return await _calls(http, address)[what]() is not False
-            except (PeerError, PlatformError):
+            except (PeerError, PlatformError) as error:
+                context.may_have_run = getattr(error, 'may_have_run', None)
                 return False
 
     context.is_done = asyncio.run(_serve(context.app, ask))
@@ -90,6 +92,67 @@
     assert (context.is_done, context.moved) == (False, []), (context.is_done, context.moved)
 
 
+@given('an HTTP server that answers everything with a change to another protocol')
+def step_protocol(context: Any) -> None:
+    _answer_all(context, lambda: web.Response(status=101))
+
+
+@given('an HTTP server that answers everything with the answer to another request')
+def step_other_answer(context: Any) -> None:
+    _answer_all(context, lambda: web.Response(body=encode_answer(Answer(RequestId('other')))))
+
+
+def _answer_all(context: Any, response: Callable[[], web.Response]) -> None:
+    async def answer(_request: web.Request) -> web.Response:
+        return response()
+
+    context.app = web.Application()
+    context.app.router.add_route('*', '/{path:.*}', answer)
+
+
+@then('it has failed, and may have run')
+def step_unknown(context: Any) -> None:
+    assert (context.is_done, context.may_have_run) == (False, True), (context.is_done, context.may_have_run)
+
+
+@when('the library sends a write twice, and the event loop runs between them')
+def step_writes(context: Any) -> None:
+    _write_twice(context, _let_answers_arrive)
+
+
+@when('the library sends a write twice, and the event loop is held up between them')
+def step_writes_held(context: Any) -> None:
+    _write_twice(context, _hold_event_loop)
+
+
+def _write_twice(context: Any, pause: Callable[[], Awaitable[None]]) -> None:
+    async def ask(http: aiohttp.ClientSession, address: str) -> str:
+        async with http.post(f'http://{address}/x', timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S)) as response:
+            return f'{response.status} {await response.text()}'
+
+    async def ask_twice(address: str) -> list[str]:
+        async with open_session() as http:
+            first = await ask(http, address)
+            await pause()
+            return [first, await ask(http, address)]
+
+    async def run() -> list[str]:
+        address = await context.end.start()
+        results = await asyncio.to_thread(asyncio.run, ask_twice(address))
+        context.end.stop()
+        return results
+
+    context.results = asyncio.run(run())
+
+
+async def _let_answers_arrive() -> None:
+    await asyncio.sleep(0.1)
+
+
+async def _hold_event_loop() -> None:
+    time.sleep(0.1)
+
+
 @given("the callers' API with an executor that takes 50 ms")
 def step_api(context: Any) -> None:
     context.ran = []
--- a/packages/fescuequay-ctl/fescuequay_ctl/cmdline.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/cmdline.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NoReturn, TypeVar
 
-import aiohttp
 import click
 import msgspec
 
@@ -15,6 +14,7 @@
 from fescuequay_core.exceptions import FescuequayError
 from fescuequay_ctl import operations
 from fescuequay_ctl.operations import InstanceReport, InvalidTextError, Operations, TextConflictError, WaitTimeoutError
+from fescuequay_entry.http_session import open_session
 
 _DEFAULT_WAIT_TIMEOUT_S: Final = 10.0
 _SHORT_DIGEST_CHARS: Final = 12
@@ -202,7 +202,7 @@
 
 def _run(platform: str, work: Callable[[Operations], Awaitable[_Result]]) -> _Result:
     async def session() -> _Result:
-        async with aiohttp.ClientSession() as http:
+        async with open_session() as http:
             return await work(Operations(http, platform))
 
     try:
--- a/packages/fescuequay-entry/fescuequay_entry/daemon.py
+++ b/packages/fescuequay-entry/fescuequay_entry/daemon.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 from typing import Any, Final
 
-import aiohttp
 from aiohttp import web
 from reactivex.scheduler.eventloop import AsyncIOScheduler
 
@@ -20,6 +19,7 @@
 from fescuequay_core.verdicts import Refusal
 from fescuequay_entry.callers import CallersApi
 from fescuequay_entry.config import Settings, split_address
+from fescuequay_entry.http_session import open_session
 from fescuequay_entry.internal import InternalApi
 from fescuequay_entry.metrics import Metrics
 from fescuequay_entry.peers import PeerClient, PeerError
@@ -62,7 +62,7 @@
 
     async def start(self) -> None:
         """Open the listeners and start the core."""
-        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10))
+        self._http = open_session()
         secrets = self.settings.secret_bytes()
         self._peers = PeerClient(self._http, secrets, min(self.settings.timing.peer_timeout_s, _MAX_PEER_WAIT_S))
         callers = CallersApi(self.settings, self.submit, self.is_ready, lambda: self.is_leaving)
--- a/packages/fescuequay-entry/fescuequay_entry/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/peers.py
@@ -120,9 +120,12 @@
         # The other instance answers by the deadline; the margin allows for the response's network latency.
         body = await self._post(address, '/peer/requests', raw, remaining_s + 0.25)
         try:
-            return decode_answer(body)
+            answer = decode_answer(body)
         except MessageError as error:
             raise PeerError(str(error), may_have_run=True) from None
+        if answer.request_id != request.request_id:
+            raise PeerError(f'{address} answered another request', may_have_run=True)
+        return answer
 
     async def fetch(self, address: str, digest: Digest) -> bytes:
         """Fetch an object from a peer.
@@ -156,8 +159,9 @@
             raise PeerError(f'{address} cannot be reached: {error}', may_have_run=False) from None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             raise PeerError(f'{address} did not answer: {type(error).__name__}', may_have_run=True) from None
-        if answer.status >= 300:
-            raise PeerError(f'{address} answered with status {answer.status}', may_have_run=answer.status >= 500)
+        if answer.status != 200:
+            may_have_run = not 300 <= answer.status < 500
+            raise PeerError(f'{address} answered with status {answer.status}', may_have_run=may_have_run)
         return answer_body
 
 
