Quote the subject of an operator's question to the instances

`fescuequayctl explain "a?b"` asked the instances about "a", "a/b" about nothing that they know, "../status" for their status, and line ends were dropped: the subject was written into the URL as it stood. It is now one quoted segment of the path.

--- a/features/http_library.feature
+++ b/features/http_library.feature
@@ -58,3 +58,18 @@
       | answer                            |
       | a change to another protocol      |
       | the answer to another request     |
+
+  Scenario Outline: An operator asks about the subject <subject>
+    Given a platform that lists an instance, which keeps the subjects that it is asked about
+    When an operator asks about the subject <subject>
+    Then the instance was asked about <subject> alone
+
+    Examples:
+      | subject      |
+      | a            |
+      | a/b          |
+      | a?b=c#d      |
+      | ../status    |
+      | a%2Fb        |
+      | a b é        |
+      | a\r\nB: c    |
--- a/features/steps/http_library_steps.py
+++ b/features/steps/http_library_steps.py
@@ -153,6 +153,40 @@
     time.sleep(0.1)
 
 
+@given('a platform that lists an instance, which keeps the subjects that it is asked about')
+def step_explaining(context: Any) -> None:
+    context.asked = []
+
+    async def explain(request: web.Request) -> web.Response:
+        context.asked.append(request.match_info['subject'])
+        return web.json_response([])
+
+    async def members(request: web.Request) -> web.Response:
+        return web.json_response([{'instance': 'a', 'data_centre': 'dc', 'peer_address': request.host}])
+
+    context.app = web.Application()
+    context.app.router.add_get('/explain/{subject}', explain)
+    context.app.router.add_get('/instances', members)
+
+
+@when('an operator asks about the subject {text}')
+def step_explain(context: Any, text: str) -> None:
+    async def ask(address: str) -> None:
+        async with open_session() as http:
+            await Operations(http, f'http://{address}').explain(_unescape(text))
+
+    asyncio.run(_serve(context.app, ask))
+
+
+@then('the instance was asked about {text} alone')
+def step_explained(context: Any, text: str) -> None:
+    assert context.asked == [_unescape(text)], context.asked
+
+
+def _unescape(text: str) -> str:
+    return text.replace('\\r', '\r').replace('\\n', '\n')
+
+
 @given("the callers' API with an executor that takes 50 ms")
 def step_api(context: Any) -> None:
     context.ran = []
--- a/packages/fescuequay-ctl/fescuequay_ctl/operations.py
+++ b/packages/fescuequay-ctl/fescuequay_ctl/operations.py
@@ -7,9 +7,11 @@
 from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any, Final
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
+import yarl
 
 from fescuequay_core import config, jsonc, keys, textcheck
 from fescuequay_core.events import Member, WriteResult
@@ -158,16 +160,18 @@
         :returns: Incidents of every instance that answers, oldest first.
         """
         members = await self._platform.members()
-        found = await asyncio.gather(*(self._fetch(member, f'/explain/{subject}') for member in members))
+        found = await asyncio.gather(
+            *(self._fetch(member, f'/explain/{quote(subject, safe="")}') for member in members)
+        )
         entries = [entry for entries in found if entries for entry in entries]
         return sorted(entries, key=lambda entry: -float(entry['ago_s']))
 
     async def _fetch(self, member: Member, path: str) -> Any:
         timeout = aiohttp.ClientTimeout(total=2)
         try:
-            async with self._http.get(
-                f'http://{member.peer_address}{path}', timeout=timeout, allow_redirects=False
-            ) as answer:
+            # The path is quoted already.
+            url = yarl.URL(f'http://{member.peer_address}{path}', encoded=True)
+            async with self._http.get(url, timeout=timeout, allow_redirects=False) as answer:
                 return msgspec.json.decode(await answer.read()) if answer.status == HTTPStatus.OK else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError, msgspec.DecodeError, RecursionError):
             return None
