Bound the lines about bad HTTP requests by their number

The check "it logged at most one line" never saw a line, since the environment of the features suppresses them: it now sees them, and passes.

--- a/features/http.feature
+++ b/features/http.feature
@@ -51,6 +51,17 @@
     When a slow request is followed by 40 requests
     Then it handles at most 17 of them, answers those first and the next one with 413
 
+  Scenario Outline: Many bad requests write few lines
+    Given a listener that echoes the body of a POST to /echo
+    When it gets <bytes> on 60 connections, one after the other
+    Then it has logged 20 lines, and then one line that counts 40 more
+
+    Examples:
+      | bytes |
+      | rubbish\r\n\r\n |
+      | POST /fail HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n |
+      | POST /peer/news HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\n[] |
+
   Scenario: A request that is longer than the limit is answered before it has arrived
     Given a listener that echoes the body of a POST to /echo
     When it gets 3 MB of a request of 100 MB
--- a/features/http_streams.py
+++ b/features/http_streams.py
@@ -9,7 +9,7 @@
 
 from hypothesis import strategies
 
-from fescuequay_entry.relay import http_client, http_server
+from fescuequay_entry.relay import bounded_log, http_client, http_server
 from fescuequay_entry.relay.http_server import Answer, Request
 
 _KEEP_ALIVE_S: Final = 5.0
@@ -222,7 +222,7 @@
         transport.release()
         return outcome
 
-    with mock.patch.object(http_server, 'log_event'):
+    with mock.patch.object(bounded_log, 'log_event'):
         return handled, *asyncio.run(run())
 
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -5,17 +5,19 @@
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import given as any_of
 from hypothesis import settings, strategies
 
 from fescuequay_core.types import InstanceId, ServiceId, TargetId
+from fescuequay_entry.relay import bounded_log
 from fescuequay_entry.relay.authority import Authority
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
 from fescuequay_entry.relay.http_server import Answer, HttpServer, Request, Routes
 from fescuequay_entry.relay.messages import FetchAnswer, FetchRequest
-from fescuequay_entry.relay.peers import HttpPeers
+from fescuequay_entry.relay.peers import HttpPeers, PeerApi
 from fescuequay_platform.store import PlatformPromoter
 from features.http_ends import EMPTY, ScriptedEnd
 
@@ -26,6 +28,9 @@
 #: Time that the client waits for an end that stays silent, in seconds.
 _SILENCE_S: Final = 0.1
 
+#: Interval in which the number of lines is bounded, in seconds.
+_LOG_INTERVAL_S: Final = 1.0
+
 #: Time of a slow answer, in seconds.
 _SLOW_S: Final = 0.05
 
@@ -83,10 +88,16 @@
             server.stop()
 
     log = logging.getLogger('fescuequay')
+    # The environment of the features suppresses lines.
+    earlier_level, disabled = log.level, logging.root.manager.disable
     log.addHandler(handler)
+    log.setLevel(logging.INFO)
+    logging.disable(logging.NOTSET)
     try:
         return asyncio.run(run()), handler.lines
     finally:
+        logging.disable(disabled)
+        log.setLevel(earlier_level)
         log.removeHandler(handler)
 
 
@@ -155,6 +166,31 @@
     context.received = _with_server(ask)[0]
 
 
+@when('it gets {text} on {count:d} connections, one after the other')
+def step_many_bad(context: Any, text: str, count: int) -> None:
+    sent = text.encode().decode('unicode_escape').encode('latin-1')
+
+    async def ask(port: int) -> None:
+        for _ in range(count):
+            await _send(port, sent)
+        # Lets the interval end.
+        await asyncio.sleep(_LOG_INTERVAL_S)
+
+    with mock.patch.object(bounded_log, '_INTERVAL_S', _LOG_INTERVAL_S):
+        news = PeerApi(*(_never for _ in range(5))).routes()
+        context.lines = _with_server(ask, news)[1]
+
+
+def _never(*_arguments: Any) -> Any:
+    raise AssertionError('a malformed message was handled')
+
+
+@then('it has logged {count:d} lines, and then one line that counts {more:d} more')
+def step_few_lines(context: Any, count: int, more: int) -> None:
+    assert len(context.lines) == count + 1, len(context.lines)
+    assert context.lines[-1].startswith('lines_omitted') and f"'count': {more}" in context.lines[-1], context.lines[-1]
+
+
 @then('it answers with {answers}')
 def step_answers(context: Any, answers: str) -> None:
     assert _describe(context.received) == answers, context.received
--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from fescuequay_entry.relay.board import log_event
+from fescuequay_entry.relay.bounded_log import BoundedLog
 from fescuequay_entry.relay.http_head import encode_response
 
 #: Largest size of a request, in bytes; the largest message between instances is a configuration of some 200 KB.
@@ -121,6 +121,7 @@
         # A dict, because it keeps the order.
         self._all: dict[_ServerConnection, None] = {}
         self._blocked: set[_ServerConnection] = set()
+        self.log = BoundedLog('http_listener')
 
     def all(self) -> tuple['_ServerConnection', ...]:
         """:returns: Every open connection."""
@@ -243,7 +244,13 @@
     def abort(self, reason: str) -> None:
         """Reset the connection, and drop what waits to be sent."""
         if self._transport is not None:
-            log_event('connection_reset', sender=self._sender, reason=reason, unsent_bytes=self.unsent_bytes())
+            self._connections.log.log(
+                'connection_reset',
+                level=logging.INFO,
+                sender=self._sender,
+                reason=reason,
+                unsent_bytes=self.unsent_bytes(),
+            )
             self._transport.abort()
 
     def on_message_begin(self) -> None:
@@ -314,7 +321,7 @@
         try:
             return _encode(await handler(request), is_kept=is_kept)
         except Exception as error:  # noqa: BLE001 -- one request must not end the process
-            log_event(
+            self._connections.log.log(
                 'handler_failed',
                 level=logging.ERROR,
                 sender=request.sender,
@@ -328,7 +335,7 @@
         if self._is_ended:
             return
         self._is_ended = True
-        log_event('bad_http_request', level=logging.WARNING, sender=self._sender, detail=detail[:_DETAIL_CHARACTERS])
+        self._connections.log.log('bad_http_request', sender=self._sender, detail=detail[:_DETAIL_CHARACTERS])
         self._requests.put_nowait((Answer(status), False))
 
     def _restart_timer(self) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/peers.py
@@ -1,7 +1,6 @@
 """HTTP with JSON between instances: a client, and the handlers of the peer listener."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
@@ -9,7 +8,7 @@
 import msgspec
 
 from fescuequay_core.decoding import JsonDecoder, UnreadableError
-from fescuequay_entry.relay.board import log_event
+from fescuequay_entry.relay.bounded_log import BoundedLog
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
 from fescuequay_entry.relay.http_server import Answer, Handler, Request
 from fescuequay_entry.relay.messages import (
@@ -130,6 +129,7 @@
         self._on_fetch = on_fetch
         self._on_close = on_close
         self._on_news = on_news
+        self._log = BoundedLog('peer_listener')
 
     def routes(self) -> dict[tuple[str, str], Handler]:
         """:returns: The handlers by method and path."""
@@ -142,43 +142,36 @@
         }
 
     async def _exchange(self, request: Request) -> Answer:
-        message = _decode(request, ExchangeRequest)
+        message = self._decode(request, ExchangeRequest)
         return _BAD_REQUEST if message is None else _encode(self._on_exchange(message))
 
     async def _supply(self, request: Request) -> Answer:
-        message = _decode(request, SupplyRequest)
+        message = self._decode(request, SupplyRequest)
         return _BAD_REQUEST if message is None else _encode(self._on_supply(message))
 
     async def _fetch(self, request: Request) -> Answer:
-        message = _decode(request, FetchRequest)
+        message = self._decode(request, FetchRequest)
         return _BAD_REQUEST if message is None else _encode(self._on_fetch(message))
 
     async def _close(self, request: Request) -> Answer:
-        message = _decode(request, CloseRequest)
+        message = self._decode(request, CloseRequest)
         return _BAD_REQUEST if message is None else _encode(await self._on_close(message))
 
     async def _news(self, request: Request) -> Answer:
-        message = _decode(request, News)
+        message = self._decode(request, News)
         if message is None:
             return _BAD_REQUEST
         self._on_news(message)
         return _encode(News())
 
-
-def _decode(request: Request, kind: type[Message]) -> Message | None:
-    """:returns: The message; nothing, after one log line, if it is malformed."""
-    try:
-        message: Message = _DECODERS_BY_KIND[kind].decode(request.body)
-        return message
-    except UnreadableError as error:
-        log_event(
-            'bad_peer_message',
-            level=logging.WARNING,
-            sender=request.sender,
-            path=request.path,
-            detail=str(error),
-        )
-        return None
+    def _decode(self, request: Request, kind: type[Message]) -> Message | None:
+        """:returns: The message; nothing, after one log line, if it is malformed."""
+        try:
+            message: Message = _DECODERS_BY_KIND[kind].decode(request.body)
+            return message
+        except UnreadableError as error:
+            self._log.log('bad_peer_message', sender=request.sender, path=request.path, detail=str(error))
+            return None
 
 
 def _encode(message: object) -> Answer:
