--- a/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/http_server.py
@@ -9,7 +9,8 @@
 
 import httptools
 
-from fescuequay_entry.relay.board import log_event
+from fescuequay_entry.relay.bounded_log import BoundedLog
+from fescuequay_entry.relay.http_head import encode_response
 
 #: Largest size of a request, in bytes; the largest message between instances is a configuration of some 200 KB.
 _MAX_REQUEST_BYTES: Final = 2_097_152
@@ -17,6 +18,9 @@
 #: Most requests of one connection that wait for their answers.
 _MAX_PIPELINED: Final = 16
 
+#: Versions of HTTP that the server speaks.
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
+
 #: Backlog of connections that wait to be accepted: all peers may connect at once.
 _BACKLOG: Final = 256
 
@@ -117,6 +121,7 @@
         # A dict, because it keeps the order.
         self._all: dict[_ServerConnection, None] = {}
         self._blocked: set[_ServerConnection] = set()
+        self.log = BoundedLog('http_listener')
 
     def all(self) -> tuple['_ServerConnection', ...]:
         """:returns: Every open connection."""
@@ -165,7 +170,9 @@
         self._body: list[bytes] = []
         self._size = 0
         self._sender = '-'
-        self._requests: asyncio.Queue[tuple[Request, bool]] = asyncio.Queue()
+        # Requests to answer, and the refusal of what can't be parsed, with whether the connection is kept after it.
+        self._requests: asyncio.Queue[tuple[Request | Answer, bool]] = asyncio.Queue()
+        self._is_ended = False
         self._answering: asyncio.Task[None] | None = None
         self._closing: asyncio.TimerHandle | None = None
         self._unread: asyncio.TimerHandle | None = None
@@ -216,17 +223,17 @@
             self._unread.cancel()
 
     def data_received(self, received: bytes) -> None:
-        """Parse a part of a request."""
+        """Parse a part of a request; nothing behind the last one or behind what can't be parsed is a request."""
+        if self._is_ended:
+            return
         self._restart_timer()
         self._size += len(received)
-        if self._size > _MAX_REQUEST_BYTES or self._requests.qsize() > _MAX_PIPELINED:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'too long or too many requests')
+        if self._size > _MAX_REQUEST_BYTES:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'request too long')
             return
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade requested')
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._reject(HTTPStatus.BAD_REQUEST, str(error))
 
     def close(self) -> None:
@@ -237,7 +244,13 @@
     def abort(self, reason: str) -> None:
         """Reset the connection, and drop what waits to be sent."""
         if self._transport is not None:
-            log_event('connection_reset', sender=self._sender, reason=reason, unsent_bytes=self.unsent_bytes())
+            self._connections.log.log(
+                'connection_reset',
+                level=logging.INFO,
+                sender=self._sender,
+                reason=reason,
+                unsent_bytes=self.unsent_bytes(),
+            )
             self._transport.abort()
 
     def on_message_begin(self) -> None:
@@ -249,6 +262,19 @@
         """Keep a part of the URL."""
         self._url += part
 
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Refuse a body in a coding that is not decoded."""
+        if name.lower() == b'transfer-encoding' and content.strip(b' \t').lower() != b'chunked':
+            self._reject(HTTPStatus.NOT_IMPLEMENTED, 'unsupported transfer coding')
+
+    def on_headers_complete(self) -> None:
+        """Refuse other versions, and changes to other protocols, behind which no HTTP follows."""
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self._reject(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, f'HTTP version {version}')
+        if self._parser.should_upgrade():
+            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade requested')
+
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
         self._body.append(part)
@@ -256,10 +282,16 @@
     def on_message_complete(self) -> None:
         """Queue the request."""
         self._size = 0
+        if self._requests.qsize() >= _MAX_PIPELINED:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'too many requests')
+        if self._is_ended:
+            return
         path = self._url.split(b'?')[0].decode('latin-1')
         method = self._parser.get_method().decode('latin-1')
         request = Request(method, path, b''.join(self._body), self._sender)
-        self._requests.put_nowait((request, self._parser.should_keep_alive()))
+        is_kept = self._parser.should_keep_alive()
+        self._is_ended = not is_kept
+        self._requests.put_nowait((request, is_kept))
 
     async def _answer_all(self) -> None:
         while True:
@@ -268,38 +300,43 @@
             self._is_answering = True
             self._connections.record_request(self)
             await self._may_write.wait()
-            answer = _OVERLOADED if self._connections.is_full() else await self._answer(request)
+            if isinstance(request, Answer):
+                answer = _encode(request, is_kept=is_kept)
+            elif self._connections.is_full():
+                answer = _encode(_OVERLOADED, is_kept=is_kept)
+            else:
+                answer = await self._answer(request, is_kept=is_kept)
             if self._transport is None:
                 return
-            self._transport.write(_encode(answer, is_kept=is_kept))
+            self._transport.write(answer)
             if not is_kept:
                 self.close()
                 return
             self._restart_timer()
 
-    async def _answer(self, request: Request) -> Answer:
+    async def _answer(self, request: Request, *, is_kept: bool) -> bytes:
         handler = self._routes.get((request.method, request.path))
         if handler is None:
-            return Answer(HTTPStatus.NOT_FOUND)
+            return _encode(Answer(HTTPStatus.NOT_FOUND), is_kept=is_kept)
         try:
-            return await handler(request)
+            return _encode(await handler(request), is_kept=is_kept)
         except Exception as error:  # noqa: BLE001 -- one request must not end the process
-            log_event(
+            self._connections.log.log(
                 'handler_failed',
                 level=logging.ERROR,
                 sender=request.sender,
                 path=request.path[:_DETAIL_CHARACTERS],
                 error=repr(error)[:_DETAIL_CHARACTERS],
             )
-            return Answer(HTTPStatus.INTERNAL_SERVER_ERROR)
+            return _encode(Answer(HTTPStatus.INTERNAL_SERVER_ERROR), is_kept=is_kept)
 
     def _reject(self, status: HTTPStatus, detail: str) -> None:
-        """Answer a request that can't be parsed, log one line, and close the connection."""
-        if self._transport is None or self._transport.is_closing():
+        """Log one line, refuse what can't be parsed after the requests before it, and then close the connection."""
+        if self._is_ended:
             return
-        log_event('bad_http_request', level=logging.WARNING, sender=self._sender, detail=detail[:_DETAIL_CHARACTERS])
-        self._transport.write(_encode(Answer(status), is_kept=False))
-        self.close()
+        self._is_ended = True
+        self._connections.log.log('bad_http_request', sender=self._sender, detail=detail[:_DETAIL_CHARACTERS])
+        self._requests.put_nowait((Answer(status), False))
 
     def _restart_timer(self) -> None:
         if self._closing is not None:
@@ -308,12 +345,10 @@
 
 
 def _encode(answer: Answer, *, is_kept: bool) -> bytes:
-    lines = (
-        f'HTTP/1.1 {answer.status.value} {answer.status.phrase}',
-        f'Content-Type: {answer.content_type}',
-        f'Content-Length: {len(answer.body)}',
-        f'Connection: {"keep-alive" if is_kept else "close"}',
-        '',
-        '',
+    """:returns: The bytes of an answer. :raises HeadError: Its media type is malformed."""
+    fields = (
+        ('Content-Type', answer.content_type),
+        ('Content-Length', str(len(answer.body))),
+        ('Connection', 'keep-alive' if is_kept else 'close'),
     )
-    return '\r\n'.join(lines).encode('latin-1') + answer.body
+    return encode_response(answer.status, fields) + answer.body
