--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -33,6 +33,10 @@
     When another writer leaves each of the odd registry entries
     Then none of them describes a target, and a complete entry still does
 
+  Scenario: A key that would end the opening message early is no target's id
+    When another writer leaves complete registry entries under odd keys
+    Then none of them describes a target, and a complete entry still does
+
   Scenario: An entry at which its decoder fails is ignored alone
     Given a feed of 3 entries whose decoder fails at the second one
     When the feed is read as a whole, and then its changes
--- a/features/odd_entries.py
+++ b/features/odd_entries.py
@@ -64,6 +64,18 @@
     'nothing': b'',
 }
 
+#: Keys of rows that are no id of a database, which is sent as a field of a message.
+KEYS_BY_NAME: Final[dict[str, str]] = {
+    'an empty key': '',
+    'a blank in the key': 'i-1 x',
+    'a request in the key': 'i-1\r\nQUERY 1 READ x',
+    'a line feed in the key': 'i\n-1',
+    'a line feed at the end of the key': 'i-1\n',
+    'a carriage return in the key': 'i\r-1',
+    'a NUL in the key': 'i-1\0',
+    'a key that is too long': 'i' * 201,
+}
+
 #: Rows of the system's own table, by what is odd about their content.
 OWN_ROWS_BY_NAME: Final[dict[str, bytes]] = {
     'nested arrays': DEEP_ARRAYS,
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -39,6 +39,13 @@
     assert rows.decode_target('i-1', odd_entries.entry()) is not None
 
 
+@when('another writer leaves complete registry entries under odd keys')
+def step_odd_keys(context: Any) -> None:
+    context.described = {
+        name: rows.decode_target(key, odd_entries.entry()) for name, key in odd_entries.KEYS_BY_NAME.items()
+    }
+
+
 class FixedStore:
     """Answers each call of the store with the same three rows."""
 
--- a/packages/fescuequay-core/fescuequay_core/decoding.py
+++ b/packages/fescuequay-core/fescuequay_core/decoding.py
@@ -1,7 +1,7 @@
 """Decoding of JSON that others have written: whatever the bytes are, the outcome is a value or one kind of error."""
 
 import re
-from typing import Annotated, Final, Generic, TypeVar
+from typing import Annotated, Any, Final, Generic, TypeVar
 
 import msgspec
 
@@ -36,6 +36,7 @@
     """
 
     def __init__(self, kind: object) -> None:
+        self._kind: Any = kind
         self._decoder: msgspec.json.Decoder[Shape] = msgspec.json.Decoder(kind)
 
     def decode(self, raw: bytes | msgspec.Raw) -> Shape:
@@ -47,6 +48,14 @@
         except msgspec.MsgspecError as error:
             raise UnreadableError(str(error)[:_DETAIL_CHARACTERS]) from None
 
+    def convert(self, plain: object) -> Shape:
+        """:returns: The value of plain JSON. :raises UnreadableError: It is of another shape."""
+        try:
+            shaped: Shape = msgspec.convert(plain, self._kind)
+        except (msgspec.ValidationError, RecursionError) as error:
+            raise UnreadableError(str(error)[:_DETAIL_CHARACTERS]) from None
+        return shaped
+
 
 def prune(raw: bytes, levels: int) -> bytes:
     """Replace what is nested too deep by ``null``, so that the rest of a document can be decoded.
