End a stream between instances for good at the first bytes that are no frame

The frame decoder removed a body before it decoded it. After a FrameError the next chunk was therefore decoded from the frame behind the unreadable one.

It now keeps its error: nothing of the stream is decoded after it, and each later chunk raises.

features/hops.feature compares the decoder with a plain model of the format on any frames, chunks and damage.

--- a/features/gateway_builders.py
+++ b/features/gateway_builders.py
@@ -90,6 +90,8 @@
         'a frame of another format version': frame_of(plain, version=hop_frames.FORMAT_VERSION + 1),
         'a frame that says it is 8 MiB long': frame_of(plain, length=8 * 1024 * 1024),
         'a body that is no JSON': frame_of(b'["p"'),
+        'an empty body': frame_of(b''),
+        'a body with a second value': frame_of(plain + plain),
         'a body of an unknown kind': frame_of(b'["unknown",1]'),
         'a request without its fields': frame_of(b'["q",1,"s"]'),
         'a text of bytes with a character': frame_of(
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -210,19 +210,30 @@
 
 
 class FrameDecoder:
-    """Cuts the received bytes of one stream into frames."""
+    """Cuts the received bytes of one stream into frames, up to the first bytes that are none."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._error: FrameError | None = None
 
     def feed(self, received: bytes) -> Iterator[Frame]:
         """Decode what has arrived.
 
         :param received: Next bytes of the stream.
         :returns: The frames that are complete.
-        :raises FrameError: The bytes are malformed, too long or of another version of the format.
+        :raises FrameError: The bytes are malformed, too long or of another version of the format, or follow such bytes.
         """
+        if self._error is not None:
+            raise FrameError(f'bytes after an unreadable frame: {self._error}')
         self._buffer += received
+        try:
+            yield from self._cut()
+        except FrameError as error:
+            self._error = error
+            self._buffer.clear()
+            raise
+
+    def _cut(self) -> Iterator[Frame]:
         while len(self._buffer) >= _HEADER.size:
             marked_version, length = _HEADER.unpack_from(self._buffer)
             version = marked_version & ~_BYTES_FLAG
