Send no frame that the gateway would end the whole stream for

A frame with a body of over 7 MiB was sent and refused at the other end with all other statements on that stream: their outcome was unknown to callers. A caller could cause it with an EXECUTE of about 0.6 MiB of control characters (its text and its arguments take six bytes for each, 12 MB for 1 MB), and a target with an answer of many rows. A text with half of a surrogate pair raised UnicodeEncodeError in the session, and one whose surrogates are the bytes of a letter arrived as another text.

encode now raises UnsendableFrame for these. The emulator ends a stream at an unreadable frame as the TCP streams do.

--- a/features/hops.feature
+++ b/features/hops.feature
@@ -24,3 +24,23 @@
   Scenario: The work of decoding grows with the bytes, not with the frames that wait behind
     When 4000 short frames arrive in one chunk, and one frame of 1 MiB in 256 chunks
     Then the decoder has copied each byte at most 4 times
+
+  Scenario Outline: A frame that the other end would refuse or read as another one is not sent
+    When <frame> is sent over a stream, and a sign of life after it
+    Then only the sign of life arrives, and the sender knows that the other frame was not sent
+
+    Examples:
+      | frame                                             |
+      | a statement of 1 MiB of control characters twice  |
+      | a text with half of a surrogate pair              |
+      | a text whose surrogates are the bytes of a letter |
+
+  Scenario: A statement that is too long for a frame is served another way, and the others on its stream are answered
+    Given 8 instances with 12 connections for each target, all of which can be gateways
+    When a caller executes a statement whose frame would be too long, while others read over the same gateway
+    Then all of them are served, and no stream was ended
+
+  Scenario: An answer that is too long for a frame costs only its own statement
+    Given a gateway that is asked over one stream
+    When it is asked to write and to read, and the write's answer has 8 rows of 1 MiB
+    Then the write ran and its outcome is unknown, and the read is answered
--- a/features/steps/hop_steps.py
+++ b/features/steps/hop_steps.py
@@ -1,18 +1,46 @@
 """Steps for the frames between instances."""
 
-from typing import Any
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any, Final
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from features import gateway_builders as builders
 from features import hop_stream_model as model
-from fescuequay_entry.relay.hop_frames import Answer, Fate, Frame, FrameDecoder, FrameError, Ping, Pong, encode
+from features.gateway_bench import GatewayBench
+from features.ports import reserve_port
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.model import DatabaseName, Statement, StatementKind
+from fescuequay_emulator.callers import Session, StatementOutcome
+from fescuequay_emulator.load import Load, prepare, read
+from fescuequay_emulator.world import World
+from fescuequay_entry.relay.hop_frames import (
+    Answer,
+    Ask,
+    Fate,
+    Frame,
+    FrameDecoder,
+    FrameError,
+    Ping,
+    Pong,
+    UnsendableFrame,
+    encode,
+)
+from fescuequay_entry.relay.hop_tcp import TcpHops
+from fescuequay_entry.relay.hops import HopReceiver
+from fescuequay_entry.relay.ports import Outcome, TargetConnection
 
 _CUTS = st.lists(st.integers(0, 400), max_size=6)
 
+#: Each takes six bytes in JSON.
+_CONTROLS: Final = '\x01' * 1_000_000
+
 
 def _decoded(raw: bytes, cuts: list[int]) -> tuple[list[Frame], FrameError | None]:
     decoder = FrameDecoder()
@@ -91,3 +119,134 @@
 def step_copied(context: Any, times: int) -> None:
     copied = model.CountingBuffer.copied
     assert context.size <= copied <= times * context.size, (copied, context.size)
+
+
+class _Frames(HopReceiver):
+    """Keeps the frames of a stream."""
+
+    def __init__(self) -> None:
+        self.frames: asyncio.Queue[Frame | str] = asyncio.Queue()
+
+    def receive(self, frame: Frame) -> None:
+        self.frames.put_nowait(frame)
+
+    def end(self, detail: str) -> None:
+        self.frames.put_nowait(detail)
+
+
+_UNSENDABLE_BY_NAME: Final[dict[str, Callable[[Ask], Ask]]] = {
+    'a statement of 1 MiB of control characters twice': lambda ask: msgspec.structs.replace(
+        ask, text=f'EXECUTE s {_CONTROLS}', arguments=_CONTROLS
+    ),
+    'a text with half of a surrogate pair': lambda ask: msgspec.structs.replace(ask, text='READ \ud800'),
+    'a text whose surrogates are the bytes of a letter': lambda ask: msgspec.structs.replace(
+        ask, text='READ \udcc3\udca9'
+    ),
+}
+
+
+@when('{what} is sent over a stream, and a sign of life after it')
+def step_unsendable(context: Any, what: str) -> None:
+    frame = _UNSENDABLE_BY_NAME[what](builders.ask())
+
+    async def send() -> None:
+        port = reserve_port()
+        hops, receiver = TcpHops('127.0.0.1', port), _Frames()
+        await hops.listen(lambda _link: receiver)
+        link = await hops.connect(f'127.0.0.1:{port}', _Frames())
+        try:
+            link.send(frame)
+        except (UnsendableFrame, UnicodeEncodeError) as error:
+            context.error = error
+        link.send(Ping())
+        context.first = await asyncio.wait_for(receiver.frames.get(), 5.0)
+        link.close()
+        hops.stop()
+
+    context.error = None
+    asyncio.run(send())
+
+
+@then('only the sign of life arrives, and the sender knows that the other frame was not sent')
+def step_not_sent(context: Any) -> None:
+    assert context.first == Ping(), context.first
+    assert isinstance(context.error, UnsendableFrame), repr(context.error)
+
+
+@when('a caller executes a statement whose frame would be too long, while others read over the same gateway')
+def step_long_statement(context: Any) -> None:
+    world: World = context.relay
+    long = Statement(StatementKind.EXECUTE, f'EXECUTE s {_CONTROLS}', name='s', arguments=_CONTROLS)
+
+    async def scenario(_: World) -> None:
+        await world.start()
+        await Load(world, 40, 12).run(2.0)
+        asker = next(name for name in world.instances if name not in _gateways(world))
+        sessions = [await _session(world, asker, number) for number in range(4)]
+        await sessions[0].execute(prepare('s', 'shape', is_write=False))
+        await asyncio.gather(*(session.execute(read(1)) for session in sessions))
+        links = set(world.links)
+        statements = [long, read(1), read(2), read(3)]
+        context.sent = await asyncio.gather(
+            *(session.execute(statement) for session, statement in zip(sessions, statements, strict=True))
+        )
+        context.ended = [(link.near, link.other.near) for link in links - set(world.links)]
+
+    world.run(scenario)
+
+
+@then('all of them are served, and no stream was ended')
+def step_all_served(context: Any) -> None:
+    outcomes = [(sent.outcome, sent.refusal) for sent in context.sent]
+    assert all(outcome is StatementOutcome.SERVED for outcome, _ in outcomes), outcomes
+    assert not context.ended, context.ended
+
+
+def _gateways(world: World) -> tuple[str, ...]:
+    primary = world.primary_of('s0').description
+    return next(iter(world.instances.values()))._pools._directory.gateways_of(primary)
+
+
+async def _session(world: World, asker: str, number: int) -> Session:
+    credential = world.credentials()[0]
+    session = Session(number, credential, DatabaseName('primary-0'), world.checker.sent, world.rng)
+    await session.open(world.listeners[asker])
+    return session
+
+
+@given('a gateway that is asked over one stream')
+def step_bench(context: Any) -> None:
+    context.bench = GatewayBench()
+
+
+@when("it is asked to write and to read, and the write's answer has 8 rows of 1 MiB")
+def step_long_answer(context: Any) -> None:
+    async def steps(bench: GatewayBench) -> None:
+        pool = bench.instance._pools.pool_of(bench.primary)
+        await bench.send(bench.ask(1))
+        _lengthen(pool._idle[0].connection)
+        await bench.send(bench.ask(2, 'WRITE 1 x', StatementKind.WRITE))
+        await bench.send(bench.ask(3))
+
+    context.bench.run(steps)
+
+
+def _lengthen(connection: TargetConnection) -> None:
+    """Let the next answer on a connection be long."""
+    execute = connection.execute
+
+    async def execute_once(*statement: Any, **options: Any) -> Outcome:
+        connection.execute = execute  # type: ignore[method-assign]
+        outcome = await execute(*statement, **options)
+        return dataclasses.replace(outcome, rows=['x' * 1024 * 1024] * 8)
+
+    connection.execute = execute_once  # type: ignore[method-assign]
+
+
+@then('the write ran and its outcome is unknown, and the read is answered')
+def step_long_answered(context: Any) -> None:
+    bench = context.bench
+    assert [execution.request for execution in bench.executions()][-3:] == ['r1', 'r2', 'r3'], bench.executions()
+    _, write, second = bench.link.answers
+    assert (write.number, write.fate, write.refusal().reason) == (2, Fate.ANSWERED, refusals.LOST), write
+    assert second.fate is Fate.ANSWERED and not second.reason, second
--- a/packages/fescuequay-emulator/fescuequay_emulator/hops.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/hops.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from fescuequay_emulator.virtual_loop import current_process
-from fescuequay_entry.relay.hop_frames import Frame, FrameDecoder, encode
+from fescuequay_entry.relay.hop_frames import Frame, FrameDecoder, FrameError, encode
 from fescuequay_entry.relay.hops import HopAcceptor, HopLink, HopReceiver, Hops, HopUnreachable
 
 if TYPE_CHECKING:
@@ -81,9 +81,14 @@
             self._world.loop.call_soon(self.other._receive, context=self.other._context)  # noqa: SLF001 -- as above
 
     def _receive(self) -> None:
-        if self._incoming and self.receiver is not None:
+        if not self._incoming or self.receiver is None:
+            return
+        receiver = self.receiver
+        try:
             for frame in self._decoder.feed(self._incoming.popleft()):
-                self.receiver.receive(frame)
+                receiver.receive(frame)
+        except FrameError:
+            self.close()
 
 
 class ModelHops(Hops):
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -5,6 +5,8 @@
 import logging
 from typing import Final
 
+import msgspec
+
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.model import SessionState, StatementKind, TargetDescription
 from fescuequay_core.relay.refusals import RefusalKind, Refused
@@ -23,6 +25,7 @@
     Ping,
     Pong,
     Step,
+    UnsendableFrame,
     pair_of,
     position_of,
 )
@@ -217,8 +220,16 @@
         self._answer(ask, answer)
 
     def _answer(self, ask: Ask, answer: Answer) -> None:
-        self._gateway.metrics.asked.labels(answer.fate.name.lower()).inc()
-        self.link.send(answer)
+        sent = answer
+        try:
+            self.link.send(answer)
+        except UnsendableFrame as error:
+            log_event('answer_unsendable', request=ask.request, target=ask.target, detail=str(error))
+            # The statement may have run: without its rows, its outcome is unknown to the caller.
+            detail = f'the answer could not be passed on: {error}'
+            sent = msgspec.structs.replace(answer, signature='', rows=[], reason=refusals.LOST.code, detail=detail)
+            self.link.send(sent)
+        self._gateway.metrics.asked.labels(sent.fate.name.lower()).inc()
 
     async def _run(self, ask: Ask) -> Answer:
         until = self._board.clock() + ask.limit_s
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
@@ -15,7 +15,7 @@
 from fescuequay_core.relay.waiting import WaitingStatement
 from fescuequay_core.types import Instant, RequestId, Term
 from fescuequay_entry.relay.board import Board
-from fescuequay_entry.relay.hop_frames import Answer, Ask, Fate, Step, pair_of, position_of
+from fescuequay_entry.relay.hop_frames import Answer, Ask, Fate, Step, UnsendableFrame, pair_of, position_of
 from fescuequay_entry.relay.hop_streams import GatewayPeer, HopStream
 from fescuequay_entry.relay.metrics import GatewayMetrics
 from fescuequay_entry.relay.pool import ConnectionSource, PooledConnection
@@ -167,6 +167,11 @@
     async def _run(self, ask: Ask, *, may_repeat: bool) -> Outcome:
         try:
             answer = await self._stream.ask(ask, may_repeat=may_repeat)
+        except UnsendableFrame as error:
+            self._metrics.hops.labels('unsent').inc()
+            self.is_open = False
+            self._peer.record_turned_away(self._target.target)
+            raise GatewayTurnedAway(str(error)) from error
         except TargetLost as error:
             self._metrics.hops.labels('unsent' if isinstance(error, NotSent) else 'gateway_lost').inc()
             self.is_open = False
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -40,6 +40,10 @@
     """Bytes that are no frame of this format; what follows them can't be decoded either."""
 
 
+class UnsendableFrame(Exception):
+    """A frame that the other end would not decode, or not as it was; nothing was sent."""
+
+
 class Step(enum.Enum):
     """What a gateway is asked to do."""
 
@@ -189,13 +193,15 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """:returns: A frame with its header."""
+    """:returns: A frame with its header. :raises UnsendableFrame: It is too long, or a text is that of no bytes."""
     version = FORMAT_VERSION
     try:
         body = _ENCODER.encode(frame)
     except UnicodeEncodeError:
         version |= _BYTES_FLAG
         body = _ENCODER.encode(_convert_texts(msgspec.to_builtins(frame), _text_to_bytes))
+    if len(body) > MAX_BODY_BYTES:
+        raise UnsendableFrame(f'a frame of {len(body)} bytes is longer than {MAX_BODY_BYTES}')
     return _HEADER.pack(version, len(body)) + body
 
 
@@ -273,8 +279,14 @@
 
 
 def _text_to_bytes(text: str) -> str:
-    """:returns: One character for each byte of a text."""
-    return text.encode('utf-8', 'surrogateescape').decode('latin-1')
+    """:returns: One character for each byte of a text. :raises UnsendableFrame: It is not the text of any bytes."""
+    try:
+        raw = text.encode('utf-8', 'surrogateescape')
+    except UnicodeEncodeError as error:
+        raise UnsendableFrame(f'a text stands for no bytes: {error.reason}') from error
+    if raw.decode('utf-8', 'surrogateescape') != text:
+        raise UnsendableFrame('a text stands for bytes that would be decoded as another text')
+    return raw.decode('latin-1')
 
 
 def _bytes_to_text(text: str) -> str:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
@@ -121,13 +121,14 @@
         :param may_repeat: Whether it may be sent elsewhere although it may have run.
         :raises GatewayTurnedAway: The stream is closed; nothing was sent.
         :raises GatewayLost: The stream ended, or the gateway is silent; it may have run.
+        :raises UnsendableFrame: Nothing was sent.
         """
         if self._link is None:
             raise GatewayTurnedAway('the stream to the gateway is closed')
+        self._link.send(ask)
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._outstanding_by_number[ask.number] = _Outstanding(answer, may_repeat)
         self._start_check()
-        self._link.send(ask)
         is_answered = False
         try:
             received = await answer
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
@@ -16,7 +16,10 @@
 
     @abc.abstractmethod
     def send(self, frame: Frame) -> None:
-        """Send a frame; does nothing when the stream is closed."""
+        """Send a frame; does nothing when the stream is closed.
+
+        :raises UnsendableFrame: Nothing was sent, since the other end would not decode it.
+        """
 
     @abc.abstractmethod
     def unsent_bytes(self) -> int:
