Run no statement at a gateway whose number came before on its stream

A gateway took every request for a new one. A request that arrived twice ran twice; with the number of one that was outstanding it also took the place of that one, so that a cancel met the wrong statement, and one that had been sent could be reported as not sent. A transaction under a number in use replaced the open one, whose connection was lent until the process ended.

An asking instance gives out growing numbers to requests and transactions of a stream. A request whose number isn't larger than all before now ends the stream as unreadable: what was sent runs to its end and is unknown to the asker, what was not is given up.

--- a/features/hops.feature
+++ b/features/hops.feature
@@ -44,3 +44,17 @@
     Given a gateway that is asked over one stream
     When it is asked to write and to read, and the write's answer has 8 rows of 1 MiB
     Then the write ran and its outcome is unknown, and the read is answered
+
+  Scenario Outline: A statement whose number came before runs at no target
+    Given a gateway that is asked over one stream
+    When it is asked to write under number 7, and then <again>
+    Then the first write ran once, and the stream ended as unreadable at the second request
+
+    Examples:
+      | again                                               |
+      | the same, while it runs                             |
+      | the same, after it was answered                     |
+      | the same number for another write                   |
+      | a lower number for another write                    |
+      | a transaction under a number that came before       |
+      | a transaction whose number comes after its request  |
--- a/features/steps/hop_steps.py
+++ b/features/steps/hop_steps.py
@@ -29,6 +29,7 @@
     FrameError,
     Ping,
     Pong,
+    Step,
     UnsendableFrame,
     encode,
 )
@@ -38,6 +39,9 @@
 
 _CUTS = st.lists(st.integers(0, 400), max_size=6)
 
+#: Time after which a statement runs at its target, and is not answered yet, in virtual seconds.
+_UNTIL_RUN_S: Final = 0.005
+
 #: Each takes six bytes in JSON.
 _CONTROLS: Final = '\x01' * 1_000_000
 
@@ -250,3 +254,40 @@
     _, write, second = bench.link.answers
     assert (write.number, write.fate, write.refusal().reason) == (2, Fate.ANSWERED, refusals.LOST), write
     assert second.fate is Fate.ANSWERED and not second.reason, second
+
+
+_AGAIN_BY_NAME: Final[dict[str, Callable[[GatewayBench], Ask]]] = {
+    'the same, while it runs': lambda bench: _write(bench, 7),
+    'the same, after it was answered': lambda bench: _write(bench, 7),
+    'the same number for another write': lambda bench: _write(bench, 7, request='r8'),
+    'a lower number for another write': lambda bench: _write(bench, 6),
+    'a transaction under a number that came before': lambda bench: _begin(bench, 9, lease=7),
+    'a transaction whose number comes after its request': lambda bench: _begin(bench, 9, lease=10),
+}
+
+
+def _write(bench: GatewayBench, number: int, **fields: Any) -> Ask:
+    return bench.ask(number, 'WRITE 1 x', StatementKind.WRITE, **fields)
+
+
+def _begin(bench: GatewayBench, number: int, *, lease: int) -> Ask:
+    return bench.ask(number, '', StatementKind.BEGIN, step=Step.BEGIN_WRITE, lease=lease, request='-')
+
+
+@when('it is asked to write under number 7, and then {again}')
+def step_again(context: Any, again: str) -> None:
+    async def steps(bench: GatewayBench) -> None:
+        first, second = _write(bench, 7), _AGAIN_BY_NAME[again](bench)
+        await bench.send(bench.ask(1))
+        bench.deliver(first)
+        await asyncio.sleep(_UNTIL_RUN_S if again.endswith('runs') else 1.0)
+        await bench.send(second)
+
+    context.bench.run(steps)
+
+
+@then('the first write ran once, and the stream ended as unreadable at the second request')
+def step_ran_once(context: Any) -> None:
+    bench = context.bench
+    assert [execution.request for execution in bench.executions()] == ['r1', 'r7'], bench.executions()
+    assert isinstance(bench.error, FrameError), bench.link.answers
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -21,6 +21,7 @@
     Drop,
     Fate,
     Frame,
+    FrameError,
     Leaving,
     Ping,
     Pong,
@@ -138,14 +139,15 @@
         self.link = link
         self._gateway = gateway
         self._board = gateway.board
-        self._is_ended = False
+        self._last_number = 0
         self._tasks_by_number: dict[int, asyncio.Task[None]] = {}
         self._sent_numbers: set[int] = set()
         self._leases_by_number: dict[int, _Lease] = {}
 
     def receive(self, frame: Frame) -> None:
-        """Handle a frame."""
+        """Handle a frame. :raises FrameError: It is a request that came before, or whose number did."""
         if isinstance(frame, Ask):
+            self._require_new(frame)
             self._accept(frame)
         elif isinstance(frame, Ping):
             self.link.send(Pong())
@@ -158,7 +160,6 @@
 
     def end(self, detail: str) -> None:
         """End all transactions of the stream; statements that were sent run to their end."""
-        self._is_ended = True
         self._gateway.forget(self)
         for number, task in tuple(self._tasks_by_number.items()):
             if number not in self._sent_numbers:
@@ -183,6 +184,13 @@
                 log_event('gateway_lease_idle', target=lease.pooled.target.target)
                 self._drop(number)
 
+    def _require_new(self, ask: Ask) -> None:
+        """Require that the numbers of requests and transactions grow, so that no statement runs twice."""
+        for number in (ask.lease, ask.number) if ask.step in _BEGIN_STEPS else (ask.number,):
+            if number <= self._last_number:
+                raise FrameError(f'number {number} after {self._last_number}')
+            self._last_number = number
+
     def _accept(self, ask: Ask) -> None:
         if len(self._tasks_by_number) >= MAX_OUTSTANDING:
             self._answer(ask, Answer(ask.number, Fate.TURNED_AWAY, detail='too many requests on one stream'))
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -72,9 +72,9 @@
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag='q'):
     """A statement for a gateway.
 
-    :param number: Number of the request on this stream.
+    :param number: Number of the request on this stream; each is larger than all before.
     :param step: What to do.
-    :param lease: Number of the transaction on this stream; 0 outside one.
+    :param lease: Number of the transaction on this stream, from the same sequence; 0 outside one.
     :param target: Id of the target.
     :param born_ms: Its incarnation.
     :param organisation: Organisation that it runs for.
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
@@ -35,7 +35,7 @@
 
     @abc.abstractmethod
     def receive(self, frame: Frame) -> None:
-        """Handle a frame of the other end."""
+        """Handle a frame of the other end. :raises FrameError: The other end may not send it; the stream is ended."""
 
     @abc.abstractmethod
     def end(self, detail: str) -> None:
