Refuse requests at a gateway that contradict themselves or end a message early

A gateway trusted every text of a request. Sessions send no such requests, so this took a faulty instance, or one of a build whose callers may put line breaks into fields.

The gateway now compares the kind with the text as the platform's adapter parses it, the arguments and the shape with the kind, the kind with the step, and requires of each text that it ends neither its field nor its message. What doesn't fit is refused alone as malformed and not run (bad_gateway_request); a transaction that it belongs to is rolled back at once.

features/hops.feature: 26 odd requests between two reads, and a commit with a request in its id. The lease of a gateway moves to a module of its own.

--- a/features/hops.feature
+++ b/features/hops.feature
@@ -58,3 +58,42 @@
       | a lower number for another write                    |
       | a transaction under a number that came before       |
       | a transaction whose number comes after its request  |
+
+  Scenario Outline: A request that contradicts itself, or would end a message early, is refused alone: <what>
+    Given a gateway that is asked over one stream
+    When it is asked for a read, <what>, and another read
+    Then both reads run, and the request between them is refused as malformed and not run
+
+    Examples:
+      | what                                   |
+      | a request id with another request in it |
+      | a request id with a blank              |
+      | an empty request id                    |
+      | the id of internal requests            |
+      | an organisation with a blank           |
+      | an organisation with a line feed       |
+      | an empty organisation                  |
+      | a text with another request in it      |
+      | a text with a carriage return          |
+      | a text with a NUL                      |
+      | an empty text                          |
+      | a text that is no statement            |
+      | a write that says it is a read         |
+      | a read that says it is a write         |
+      | a session value outside the values     |
+      | a commit outside a transaction         |
+      | a value with another request in it     |
+      | a value whose name has a blank         |
+      | a value without a name                 |
+      | an execution without a shape           |
+      | an execution with other arguments      |
+      | an execution of an empty shape         |
+      | a shape with another request in it     |
+      | arguments with another request in them |
+      | a read with a shape                    |
+      | a begin with a text                    |
+
+  Scenario: A malformed request ends its transaction
+    Given a gateway that is asked over one stream
+    When it begins a transaction, writes in it, and gets a commit with another request in its id
+    Then the commit did not run, and the connection of the transaction is closed
--- a/features/steps/hop_steps.py
+++ b/features/steps/hop_steps.py
@@ -13,6 +13,7 @@
 
 from features import gateway_builders as builders
 from features import hop_stream_model as model
+from features import odd_asks
 from features.gateway_bench import GatewayBench
 from features.ports import reserve_port
 from fescuequay_core.relay import refusals
@@ -291,3 +292,42 @@
     bench = context.bench
     assert [execution.request for execution in bench.executions()] == ['r1', 'r7'], bench.executions()
     assert isinstance(bench.error, FrameError), bench.link.answers
+
+
+@when('it is asked for a read, {what}, and another read')
+def step_odd_ask(context: Any, what: str) -> None:
+    async def steps(bench: GatewayBench) -> None:
+        await bench.send(bench.ask(1))
+        await bench.send(odd_asks.ASKS_BY_NAME[what](bench.ask(2)))
+        await bench.send(bench.ask(9, request='r3'))
+
+    context.bench.run(steps)
+
+
+@then('both reads run, and the request between them is refused as malformed and not run')
+def step_odd_refused(context: Any) -> None:
+    bench = context.bench
+    assert [execution.request for execution in bench.executions()] == ['r1', 'r3'], bench.executions()
+    _, refused, last = bench.link.answers
+    assert (refused.fate, refused.refusal().reason) == (Fate.REFUSED, refusals.MALFORMED), refused
+    assert last.fate is Fate.ANSWERED and not last.reason, last
+
+
+@when('it begins a transaction, writes in it, and gets a commit with another request in its id')
+def step_odd_commit(context: Any) -> None:
+    async def steps(bench: GatewayBench) -> None:
+        await bench.send(_begin(bench, 3, lease=2))
+        await bench.send(_write(bench, 4, step=Step.IN_TRANSACTION, lease=2))
+        odd = bench.ask(5, 'COMMIT', StatementKind.COMMIT, step=Step.IN_TRANSACTION, lease=2, request='r\r\nQUERY')
+        await bench.send(odd)
+        context.is_busy = bench.instance._gateway.is_busy()
+
+    context.bench.run(steps)
+
+
+@then('the commit did not run, and the connection of the transaction is closed')
+def step_not_committed(context: Any) -> None:
+    bench = context.bench
+    assert [execution.request for execution in bench.executions()] == ['r4'], bench.executions()
+    assert bench.link.answers[-1].refusal().reason is refusals.MALFORMED, bench.link.answers
+    assert not context.is_busy
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -22,6 +22,7 @@
 )
 from fescuequay_core.relay.permits import PERMIT_S
 from fescuequay_core.types import OrganisationId, Role, ServiceId, TargetId, Term
+from fescuequay_emulator import statements
 from fescuequay_emulator.callers import ModelListener
 from fescuequay_emulator.checker import (
     LIMIT_OVERAGE,
@@ -267,6 +268,7 @@
             ModelFeed(self.registry, name),
             ModelPromoter(self, name),
             ModelPeers(self, name),
+            statements.parse,
             ModelHops(self, name) if self.plan.cores else None,
         )
         instance = Instance(settings, adapters, self.loop.time)
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -1,7 +1,6 @@
 """Serves other instances as a gateway: runs their statements on the connections that this instance holds."""
 
 import asyncio
-import dataclasses
 import logging
 from typing import Final
 
@@ -12,8 +11,10 @@
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.relay.waiting import WaitingStatement
 from fescuequay_core.types import Instant, OrganisationId, RequestId, TargetId
+from fescuequay_entry.relay import ask_checks
 from fescuequay_entry.relay.board import Board, log_event
 from fescuequay_entry.relay.gateway_directory import GatewayDirectory
+from fescuequay_entry.relay.gateway_leases import GatewayLease
 from fescuequay_entry.relay.hop_frames import (
     Answer,
     Ask,
@@ -34,7 +35,7 @@
 from fescuequay_entry.relay.hops import HopLink, HopReceiver
 from fescuequay_entry.relay.metrics import GatewayMetrics
 from fescuequay_entry.relay.pool import PooledConnection, Pools
-from fescuequay_entry.relay.ports import Outcome, TargetLost, TargetSilent
+from fescuequay_entry.relay.ports import Outcome, StatementParser, TargetLost, TargetSilent
 
 #: Timeout for setting session values and preparing a statement, in seconds.
 _PREPARE_TIMEOUT_S: Final = 0.5
@@ -61,24 +62,6 @@
         self.detail = detail
 
 
-@dataclasses.dataclass(slots=True)
-class _Lease:
-    """Connection that a transaction of another instance uses.
-
-    :param pooled: The connection.
-    :param used_at: When its latest statement ended.
-    :param is_busy: Whether a statement runs on it.
-    :param is_dropped: Whether it is closed as soon as that statement ends.
-    :param has_written: Whether the transaction has written.
-    """
-
-    pooled: PooledConnection
-    used_at: Instant
-    is_busy: bool = False
-    is_dropped: bool = False
-    has_written: bool = False
-
-
 class Gateway:
     """Accepts the streams of other instances.
 
@@ -86,13 +69,22 @@
     :param pools: This instance's connections.
     :param directory: Knows the gateways.
     :param metrics: Counters.
+    :param parse: Parses the text of a statement.
     """
 
-    def __init__(self, board: Board, pools: Pools, directory: GatewayDirectory, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        board: Board,
+        pools: Pools,
+        directory: GatewayDirectory,
+        metrics: GatewayMetrics,
+        parse: StatementParser,
+    ) -> None:
         self.board = board
         self.pools = pools
         self.directory = directory
         self.metrics = metrics
+        self.parse = parse
         self._streams: dict['_GatewayStream', None] = {}
 
     def accept(self, link: HopLink) -> HopReceiver:
@@ -142,7 +134,7 @@
         self._last_number = 0
         self._tasks_by_number: dict[int, asyncio.Task[None]] = {}
         self._sent_numbers: set[int] = set()
-        self._leases_by_number: dict[int, _Lease] = {}
+        self._leases_by_number: dict[int, GatewayLease] = {}
 
     def receive(self, frame: Frame) -> None:
         """Handle a frame. :raises FrameError: It is a request that came before, or whose number did."""
@@ -209,6 +201,7 @@
         except _NotServed as error:
             answer = Answer(ask.number, error.fate, detail=error.detail)
         except Refused as refusal:
+            self._drop(ask.lease)
             answer = Answer(
                 ask.number,
                 Fate.REFUSED,
@@ -241,6 +234,7 @@
 
     async def _run(self, ask: Ask) -> Answer:
         until = self._board.clock() + ask.limit_s
+        ask_checks.require_sound(ask, self._gateway.parse)
         target = self._target_of(ask)
         lease = await self._lease_of(ask, target)
         state: SessionState | None = None
@@ -256,7 +250,7 @@
             self._finish(ask, lease, state)
         return self._answer_of(ask, target, outcome)
 
-    def _finish(self, ask: Ask, lease: _Lease, state: SessionState | None) -> None:
+    def _finish(self, ask: Ask, lease: GatewayLease, state: SessionState | None) -> None:
         """Release the connection, unless a transaction goes on.
 
         :param state: State of the target's session; nothing if it is not known.
@@ -290,7 +284,7 @@
             raise _NotServed(Fate.TURNED_AWAY, f'{ask.target} is not known here')
         return target
 
-    async def _lease_of(self, ask: Ask, target: TargetDescription) -> _Lease:
+    async def _lease_of(self, ask: Ask, target: TargetDescription) -> GatewayLease:
         """:returns: The connection of the transaction, or a new one for a single statement or a new transaction."""
         if ask.step not in _FIRST_STEPS:
             lease = self._leases_by_number.get(ask.lease)
@@ -314,16 +308,16 @@
         )
         pooled = await self._gateway.pools.pool_of(target).acquire(statement)
         self._gateway.metrics.wait.observe(self._board.clock() - now)
-        lease = _Lease(pooled, now)
+        lease = GatewayLease(pooled, now)
         if ask.step in _BEGIN_STEPS:
             self._leases_by_number[ask.lease] = lease
         return lease
 
-    async def _execute(self, ask: Ask, lease: _Lease, until: Instant) -> Outcome:
+    async def _execute(self, ask: Ask, lease: GatewayLease, until: Instant) -> Outcome:
         pooled = lease.pooled
         health = self._board.health_of(pooled.target)
         began_at = self._board.clock()
-        lease.has_written = lease.has_written or _is_write(ask)
+        lease.has_written = lease.has_written or ask_checks.is_write(ask)
         # A commit decides; what a transaction writes before it takes no effect.
         is_decisive = ask.step in _FIRST_STEPS or (ask.kind is StatementKind.COMMIT and lease.has_written)
         try:
@@ -394,7 +388,3 @@
             return
         self._leases_by_number.pop(number)
         lease.pooled.source.release(lease.pooled, is_clean=False)
-
-
-def _is_write(ask: Ask) -> bool:
-    return ask.kind is StatementKind.WRITE or (ask.shape is not None and ask.shape[1])
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -32,6 +32,7 @@
     OperatorEntry,
     Peers,
     Promoter,
+    StatementParser,
     Table,
     TargetDriver,
 )
@@ -84,6 +85,7 @@
     :param targets: Feed of the target registry.
     :param promoter: Promotes targets.
     :param peers: Sends requests to other instances.
+    :param parse: Parses the statements that other instances send to this one as a gateway.
     :param hops: Opens and accepts streams between instances and gateways; without it, no gateway is used.
     """
 
@@ -96,9 +98,11 @@
         targets: Feed[TargetDescription],
         promoter: Promoter,
         peers: Peers,
+        parse: StatementParser,
         hops: Hops | None = None,
     ) -> None:
         self.peers = peers
+        self.parse = parse
         self.hops = hops
         self.listener = listener
         self.driver = driver
@@ -142,7 +146,7 @@
         directory = GatewayDirectory(self.board, is_used=adapters.hops is not None)
         self._gateways = GatewayPeers(self.board, adapters.hops) if adapters.hops is not None else None
         self._pools = Pools(self.board, adapters.driver, directory, self._gateway_source(directory))
-        self._gateway = Gateway(self.board, self._pools, directory, self.metrics.gateway)
+        self._gateway = Gateway(self.board, self._pools, directory, self.metrics.gateway, adapters.parse)
         self._runner = StatementRunner(self.board, self._pools)
         self._controls = ControlConnections(self.board, adapters.driver)
         peers = adapters.peers
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -163,6 +163,9 @@
 #: What operators write: the configuration, and data centres to evacuate.
 OperatorEntry: TypeAlias = Configuration | Evacuation
 
+#: Parses the text of a statement, or raises ``ValueError``.
+StatementParser: TypeAlias = Callable[[str], Statement]
+
 OperatorFeed: TypeAlias = Feed[OperatorEntry]
 TargetFeed: TypeAlias = Feed[TargetDescription]
 
