Report a statement as unknown whose answer of a gateway would end a message early

The line encoder refuses such a text, but only when the session has taken the statement for served or for not run.

The answer is now judged where it arrives: one that can't be passed on is a lost gateway, as for an answer that didn't come. The outcome is unknown, the target isn't blamed, and the transaction is dropped at the gateway.

--- a/features/hops.feature
+++ b/features/hops.feature
@@ -97,3 +97,18 @@
     Given a gateway that is asked over one stream
     When it begins a transaction, writes in it, and gets a commit with another request in its id
     Then the commit did not run, and the connection of the transaction is closed
+
+  Scenario Outline: An answer that would end a message to the caller early leaves the outcome unknown: <what>
+    When a gateway answers a write in a transaction with <what>
+    Then the write's outcome is unknown, the target is not blamed, and the transaction is dropped
+
+    Examples:
+      | what                                       |
+      | a row with a line feed                     |
+      | a row with a carriage return               |
+      | a row with a NUL                           |
+      | a signature with another message           |
+      | no signature and no reason                 |
+      | a detail with another message              |
+      | a refusal whose detail has another message |
+      | a line feed in why it was not sent         |
--- a/features/steps/hop_steps.py
+++ b/features/steps/hop_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -17,10 +18,13 @@
 from features.gateway_bench import GatewayBench
 from features.ports import reserve_port
 from fescuequay_core.relay import refusals
-from fescuequay_core.relay.model import DatabaseName, Statement, StatementKind
+from fescuequay_core.relay.model import DatabaseName, SessionState, Statement, StatementKind
+from fescuequay_core.relay.waiting import WaitingStatement
+from fescuequay_core.types import OrganisationId, RequestId
 from fescuequay_emulator.callers import Session, StatementOutcome
 from fescuequay_emulator.load import Load, prepare, read
 from fescuequay_emulator.world import World
+from fescuequay_entry.relay.hop_connection import HopConnection
 from fescuequay_entry.relay.hop_frames import (
     Answer,
     Ask,
@@ -34,9 +38,10 @@
     UnsendableFrame,
     encode,
 )
+from fescuequay_entry.relay.hop_streams import GatewayPeer, HopStream
 from fescuequay_entry.relay.hop_tcp import TcpHops
 from fescuequay_entry.relay.hops import HopReceiver
-from fescuequay_entry.relay.ports import Outcome, TargetConnection
+from fescuequay_entry.relay.ports import GatewayLost, Outcome, TargetConnection, TargetLost
 
 _CUTS = st.lists(st.integers(0, 400), max_size=6)
 
@@ -331,3 +336,59 @@
     assert [execution.request for execution in bench.executions()] == ['r4'], bench.executions()
     assert bench.link.answers[-1].refusal().reason is refusals.MALFORMED, bench.link.answers
     assert not context.is_busy
+
+
+_ODD_ANSWERS_BY_NAME: Final = {
+    'a row with a line feed': Answer(1, Fate.ANSWERED, signature='s', rows=['x\nDONE y']),
+    'a row with a carriage return': Answer(1, Fate.ANSWERED, signature='s', rows=['x', 'y\r']),
+    'a row with a NUL': Answer(1, Fate.ANSWERED, signature='s', rows=['\0']),
+    'a signature with another message': Answer(1, Fate.ANSWERED, signature='s\r\nREADY I -'),
+    'no signature and no reason': Answer(1, Fate.ANSWERED, rows=['x']),
+    'a detail with another message': Answer(1, Fate.ANSWERED, reason='target_busy', detail='x\r\nREADY I -'),
+    'a refusal whose detail has another message': Answer(1, Fate.REFUSED, reason='no_room', detail='x\nDONE y'),
+    'a line feed in why it was not sent': Answer(1, Fate.NOT_SENT, detail='x\n'),
+}
+
+
+class _AnsweringStream(HopStream):
+    """A stream whose gateway gives one answer to everything."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.dropped: list[int] = []
+        self.failures: list[str] = []
+        super().__init__(time.monotonic, self.failures.append, self.failures.clear)
+        self._answer = answer
+
+    async def ask(self, ask: Ask, *, may_repeat: bool) -> Answer:
+        begun = Answer(ask.number, Fate.ANSWERED, SessionState.IN_TRANSACTION, signature='-')
+        return begun if ask.step is Step.BEGIN_WRITE else self._answer
+
+    def drop(self, lease: int) -> None:
+        self.dropped.append(lease)
+
+
+@when('a gateway answers a write in a transaction with {what}')
+def step_odd_answer(context: Any, what: str) -> None:
+    context.stream = _AnsweringStream(_ODD_ANSWERS_BY_NAME[what])
+    context.error = None
+
+    async def steps(bench: GatewayBench) -> None:
+        board = bench.instance.board
+        peer = GatewayPeer(board, TcpHops('127.0.0.1', 1), builders.member('other', 'd0', 1.0))
+        waiting = WaitingStatement(OrganisationId('o'), 1, 0.0, 1.0, 1.0)
+        metrics = bench.instance.metrics.gateway
+        connection = HopConnection(board, peer, context.stream, bench.primary, waiting, metrics)
+        await connection.begin(is_write=True, after=None)
+        try:
+            await connection.execute(RequestId('r'), Statement(StatementKind.WRITE, 'WRITE 1 x'))
+        except TargetLost as error:
+            context.error = error
+        connection.close()
+
+    GatewayBench().run(steps)
+
+
+@then("the write's outcome is unknown, the target is not blamed, and the transaction is dropped")
+def step_odd_unknown(context: Any) -> None:
+    assert isinstance(context.error, GatewayLost), repr(context.error)
+    assert len(context.stream.dropped) == 1, context.stream.dropped
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
@@ -3,6 +3,7 @@
 import math
 from typing import Final
 
+from fescuequay_core.relay.fields import is_line
 from fescuequay_core.relay.model import (
     LeaderRecord,
     LogPosition,
@@ -20,6 +21,7 @@
 from fescuequay_entry.relay.metrics import GatewayMetrics
 from fescuequay_entry.relay.pool import ConnectionSource, PooledConnection
 from fescuequay_entry.relay.ports import (
+    GatewayLost,
     GatewayRefused,
     GatewayTurnedAway,
     NotSent,
@@ -176,6 +178,12 @@
             self._metrics.hops.labels('unsent' if isinstance(error, NotSent) else 'gateway_lost').inc()
             self.is_open = False
             raise
+        fault = _fault_of(answer)
+        if fault is not None:
+            # What the answer says of the statement can't be relied on either.
+            self._metrics.hops.labels('gateway_lost').inc()
+            self.is_open = False
+            raise GatewayLost(f'the answer of {self.name} is unusable: {fault}')
         self._metrics.hops.labels(answer.fate.name.lower()).inc()
         self._peer.record_load(self._target.target, answer.waiting, answer.available)
         if answer.fate is Fate.ANSWERED:
@@ -236,6 +244,15 @@
         return not self._hop.is_silent()
 
 
+def _fault_of(answer: Answer) -> str | None:
+    """:returns: Why an answer can't be passed on to a caller; nothing if it can."""
+    if not all(map(is_line, (answer.signature, answer.detail, *answer.rows))):
+        return 'a text would end its message early'
+    if answer.fate is Fate.ANSWERED and not answer.signature and not answer.reason:
+        return 'it ended without a signature'
+    return None
+
+
 def _rounded(seconds: float) -> float:
     """:returns: A duration in as few digits as are needed."""
     return round(seconds, 4)
