Write each event as one line, whatever texts its values hold

A value was quoted only for a blank, ", =, LF, CR and TAB, and only quotes, backslashes, LF and CR were escaped. Vertical tab, form feed, FS, GS, RS, NEL and U+2028/2029 went into the line as they are: readers that take them for ends of lines saw a second line with any pairs (detail="x<VT>level=error event=forged"). NUL and escape sequences went to terminals; half a character was written as \udcff, as was the text \udcff. A request id of 1 MiB made a line of 1 MiB.

A value of up to 1,024 printable ASCII characters without ", = and blank is written as it is, by one regular expression; any other is quoted, with an escape for whatever isn't printable, and +N behind the quotes says how many characters were cut off.

Keys come from the code: log_event's keywords, and pairs() and basis() with fixed names.

--- a/packages/fescuequay-entry/fescuequay_entry/logs.py
+++ b/packages/fescuequay-entry/fescuequay_entry/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import re
 import sys
 import time
 from typing import Final
@@ -9,7 +10,17 @@
 #: Maximum size of the log lines that wait for a slow reader, in bytes: some hundred lines.
 MAX_PENDING_BYTES: Final = 65536
 
-_QUOTED_CHARS: Final = frozenset(' ="\n\r\t')
+#: Maximum number of characters of a value; what is cut off is counted.
+_MAX_VALUE_CHARS: Final = 1024
+
+#: Values that are written as they are: printable ASCII without the characters that have a meaning in a line.
+_PLAIN: Final = re.compile(f'[!#-<>-~]{{1,{_MAX_VALUE_CHARS}}}')
+
+#: First codes of characters that need four and eight digits.
+_MIN_WIDE_CODE: Final = 0x100
+_MIN_LONG_CODE: Final = 0x10000
+
+_ESCAPES_BY_CHAR: Final = {'\\': r'\\', '"': r'\"', '\n': r'\n', '\r': r'\r', '\t': r'\t'}
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -83,9 +94,24 @@
     logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
 
 
+def escape(text: str) -> str:
+    """:returns: A text with escapes for quotes, backslashes and whatever isn't printable, as in Python's literals."""
+    return ''.join(
+        _ESCAPES_BY_CHAR.get(char) or (char if char.isprintable() else _escape_code(ord(char))) for char in text
+    )
+
+
+def _escape_code(code: int) -> str:
+    if code < _MIN_WIDE_CODE:
+        return f'\\x{code:02x}'
+    return f'\\u{code:04x}' if code < _MIN_LONG_CODE else f'\\U{code:08x}'
+
+
 def _quote(value: object) -> str:
+    """:returns: A value as it is if nobody can misread it, or quoted, with the number of characters cut off."""
     text = str(value)
-    if text and not _QUOTED_CHARS.intersection(text):
+    if _PLAIN.fullmatch(text):
         return text
-    escaped = text.replace('\\', '\\\\').replace('"', '\\"').replace('\n', '\\n').replace('\r', '\\r')
-    return f'"{escaped}"'
+    cut = len(text) - _MAX_VALUE_CHARS
+    quoted = f'"{escape(text[:_MAX_VALUE_CHARS])}"'
+    return f'{quoted}+{cut}' if cut > 0 else quoted
