--- a/features/logs.feature
+++ b/features/logs.feature
@@ -34,3 +34,7 @@
   Scenario: An ordinary line costs one check for each value
     When an event is logged with ordinary values
     Then none of them was looked at character by character
+
+  Scenario: The losses of a day aren't changed by a quote in a text
+    When the losses are read from a line whose detail has a quote and another reason
+    Then the reason of the line is the one that was logged
--- a/lab/losses.py
+++ b/lab/losses.py
@@ -30,7 +30,7 @@
     )
 )
 
-_PAIR: Final = re.compile(r'(\w+)=("[^"]*"|\S+)')
+_PAIR: Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 _SECONDS: Final = re.compile(r'^\s*(-?\d+(?:\.\d+)?)\s')
 
 
