Refuse settings whose texts would end a header or a row key early

The settings of an instance took any text for its name, data centre and host. The entry instance took the same for its name, data centre and base address, and a port in other digits ended it with a traceback.

Names are now printable ASCII without blanks of at most 190 characters (data centres of relaying instances: printable), the host is an IP address, and addresses end with their port.

--- a/packages/fescuequay-core/fescuequay_core/relay/fields.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/fields.py
@@ -1,4 +1,4 @@
-"""Fields of messages to callers and targets: which texts end neither their field nor their message early."""
+"""Texts that are sent as parts of messages, headers and paths: which of them end none of these early."""
 
 import re
 from typing import Final
@@ -6,6 +6,9 @@
 #: Characters that one program or another takes for the end of a line.
 _LINE_END: Final = re.compile('[\0\r\n]')
 
+#: Maximum length of a name in settings and records, in characters; the keys of rows are not longer.
+_MAX_NAME_CHARS: Final = 190
+
 _NAME: Final = re.compile('[^\0\r\n ]+')
 
 
@@ -17,3 +20,13 @@
 def is_name(text: str) -> bool:
     """:returns: Whether a text can be any field of a message; all but the last one end at a blank."""
     return _NAME.fullmatch(text) is not None
+
+
+def is_plain_name(text: str) -> bool:
+    """:returns: Whether a text can be a name in keys of rows and in log lines: printable, and without blanks."""
+    return 0 < len(text) <= _MAX_NAME_CHARS and text.isprintable() and ' ' not in text
+
+
+def is_header_name(text: str) -> bool:
+    """:returns: Whether a text can be a name that is sent in headers and paths, too: in ASCII."""
+    return text.isascii() and is_plain_name(text)
--- a/packages/fescuequay-entry/fescuequay_entry/config.py
+++ b/packages/fescuequay-entry/fescuequay_entry/config.py
@@ -1,14 +1,20 @@
 """Settings of one entry instance, read from a file in JSON with comments."""
 
 import pathlib
-from typing import Annotated
+import re
+from typing import Annotated, Final
 
 import msgspec
 
 from fescuequay_core import jsonc
 from fescuequay_core.exceptions import FescuequayError, TextError
+from fescuequay_core.relay.fields import is_header_name
 from fescuequay_core.settings import Timing
 
+_MAX_PORT: Final = 65535
+
+_HTTP_ADDRESS: Final = re.compile('http[!-~]*')
+
 _Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1 << 30)]
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
@@ -87,11 +93,7 @@
 
 
 def _validate(path: pathlib.Path, settings: Settings) -> None:
-    for name in ('callers', 'peers'):
-        address = getattr(settings, name)
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdigit() or int(port) > 65535:
-            raise SettingsError(f'{path}: {name}: {address!r} is not an IP number with a port')
+    _validate_sent_texts(path, settings)
     if not settings.secrets:
         raise SettingsError(f'{path}: secrets: at least one secret is needed')
     for secret in settings.secrets:
@@ -101,7 +103,20 @@
             is_long = False
         if not is_long:
             raise SettingsError(f'{path}: secrets: a secret has at least 32 hexadecimal digits')
-    if not settings.platform.startswith('http'):
-        raise SettingsError(f'{path}: platform: {settings.platform!r} is not an http address')
     if settings.timing.permit_s <= settings.timing.fleet_poll_s:
         raise SettingsError(f'{path}: timing.permit_s must be longer than timing.fleet_poll_s')
+
+
+def _validate_sent_texts(path: pathlib.Path, settings: Settings) -> None:
+    """Refuse names and addresses that would end a header, a path or a log line early."""
+    for name in ('instance', 'data_centre'):
+        text = getattr(settings, name)
+        if not is_header_name(text):
+            raise SettingsError(f'{path}: {name}: {text!r} is not a name in printable ASCII without blanks')
+    for name in ('callers', 'peers'):
+        address = getattr(settings, name)
+        host, _, port = address.rpartition(':')
+        if not (is_header_name(host) and port.isascii() and port.isdigit() and int(port) <= _MAX_PORT):
+            raise SettingsError(f'{path}: {name}: {address!r} is not an IP number with a port')
+    if not _HTTP_ADDRESS.fullmatch(settings.platform):
+        raise SettingsError(f'{path}: platform: {settings.platform!r} is not an http address')
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -1,14 +1,24 @@
 """Settings of an instance, loaded from JSON with comments and validated."""
 
 import pathlib
-from typing import Annotated
+import re
+from collections.abc import Callable
+from typing import Annotated, Final
 
 import msgspec
 
 from fescuequay_core import jsonc
 from fescuequay_core.exceptions import TextError
+from fescuequay_core.relay.fields import is_header_name, is_plain_name
 
-Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+Address = Annotated[str, msgspec.Meta(pattern=r'\A[0-9.]+:[0-9]{1,5}\Z')]
+
+#: Whether a setting can be sent and written where it is used, and what it has to be.
+_CHECKS_BY_SETTING: Final[dict[str, tuple[Callable[[str], bool], str]]] = {
+    'instance': (is_header_name, 'a name in printable ASCII without blanks, of at most 190 characters'),
+    'data_centre': (is_plain_name, 'a printable name without blanks, of at most 190 characters'),
+    'host': (lambda text: re.fullmatch('[0-9.]+', text) is not None, 'an IP address'),
+}
 
 
 class SettingsError(Exception):
@@ -76,17 +86,25 @@
     :returns: The settings.
     :raises SettingsError: It can not be read or is invalid.
     """
+    plain, text = _decode(path)
     try:
-        return msgspec.convert(_decode(path), RelaySettings)
+        settings = msgspec.convert(plain, RelaySettings)
     except msgspec.ValidationError as error:
         raise SettingsError(f'{path}: {error}') from error
+    for name, (is_sound, needed) in _CHECKS_BY_SETTING.items():
+        found = getattr(settings, name)
+        if not is_sound(found):
+            line = jsonc.nearest_line(jsonc.lines_by_path(text), name)
+            raise SettingsError(f'{path}:{line}: {name}: {found!r} is not {needed}')
+    return settings
 
 
-def _decode(path: pathlib.Path) -> object:
+def _decode(path: pathlib.Path) -> tuple[object, str]:
     try:
-        plain, _ = jsonc.decode_text(path.read_bytes())
-        return plain
-    except (OSError, TextError) as error:
+        return jsonc.decode_text(path.read_bytes())
+    except TextError as error:
+        raise SettingsError(f'{path}:{error.line}: {error}') from error
+    except OSError as error:
         raise SettingsError(f'{path}: {error}') from error
 
 
