Ignore records of instances whose names or addresses would end a header early

A member of the table, or of a peer's message, was taken with any texts as its name, address and data centre. An address "127.0.0.1:1 CR LF" is connected to (int() drops the line break) and written into Host, where it ends the head of each request before Content-Length, so that the body is read as a request; an address beyond Latin-1 raised UnicodeEncodeError in the HTTP client. The same holds for the coordinator's address in its lease and the sender of news.

Names of instances are now printable ASCII, addresses host:port, and names of data centres without blanks and control characters, each of at most 190 characters. Only a lease that nobody holds and news of nobody may leave them empty. Other rows are bad_row, and other messages unreadable.

features/decoders.feature "A name or address of an instance that would end a header early names no instance": before, each of 15 odd texts was read from the table and from messages; now none is (16 with one that is too long).

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -46,6 +46,10 @@
     When another writer leaves each of the odd rows among those of the system
     Then the other rows are read, and everything that was read can be sent on
 
+  Scenario: A name or address of an instance that would end a header early names no instance
+    When another writer leaves members and leases with odd names and addresses, and instances send them
+    Then none of them is read, and sound ones, a lease that nobody holds and news of nobody still are
+
   Scenario: One odd entry of a configuration costs only itself
     When the operators' row has odd entries in each list, a field that is nested too deep, and half a character
     Then all other routes, services and organisations are in force
--- a/features/odd_entries.py
+++ b/features/odd_entries.py
@@ -116,3 +116,24 @@
         parts.append(json.dumps(name).encode() + b': ' + raw)
     parts.extend((b'"x": ' + DEEP_ARRAYS, b'"\\udc00": 1'))
     return b'{' + b', '.join(parts) + b'}'
+
+
+#: Names and addresses of instances that would end a header, a path or a row key early, by field.
+ODD_INSTANCES: Final[tuple[tuple[str, str], ...]] = (
+    ('instance', 'i\r\nX-Fencing-Token: 9'),
+    ('instance', 'i\n'),
+    ('instance', 'i\0'),
+    ('instance', 'i j'),
+    ('instance', 'i' * 300),
+    ('address', '127.0.0.1:1\r\n'),
+    ('address', '127.0.0.1:1\n'),
+    ('address', '127.0.0.1\r\nX: 1:1'),
+    ('address', '127.0.0.1: 1'),
+    ('address', '\u0100:1'),
+    ('address', '127.0.0.1:\u0661'),
+    ('address', '127.0.0.1'),
+    ('address', 'a:1' + '1' * 300),
+    ('data_centre', 'north\r\n'),
+    ('data_centre', 'north\0'),
+    ('data_centre', 'the north'),
+)
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps about entries and rows that another writer has left, and about addresses that can't be used."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
@@ -9,11 +10,13 @@
 from behave import given, then, when
 
 from features import odd_entries
-from fescuequay_core.relay.model import Configuration, MemberRecord, TargetDescription
+from fescuequay_core.decoding import JsonDecoder, UnreadableError
+from fescuequay_core.relay.model import Configuration, LeaseRow, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, OrganisationId, Role, ServiceId, TargetId
 from fescuequay_entry.relay.hop_tcp import TcpHops
 from fescuequay_entry.relay.hops import HopUnreachable
 from fescuequay_entry.relay.http_client import HttpClient, HttpError
+from fescuequay_entry.relay.messages import ExchangeRequest, News
 from fescuequay_entry.relay.ports import TableRow, TargetLost
 from fescuequay_entry.relay.settings import split_address
 from fescuequay_entry.relay.table_rows import LEADER_PREFIX, LEASE_KEY, MEMBER_PREFIX, Rows
@@ -22,6 +25,8 @@
 
 _MEMBER: Final = MemberRecord(InstanceId('i'), 'x', '127.0.0.1:1', 'north')
 
+_LEASE: Final = LeaseRow(InstanceId('i'), 'x', '127.0.0.1:1', 1, 'n')
+
 _TARGET: Final = TargetDescription(
     TargetId('t'), 1, ServiceId('s'), '127.0.0.1:1', 'north', is_draining=False, role=Role.REPLICA, slots=4
 )
@@ -148,3 +153,40 @@
 @then('it fails as one to an unreachable end')
 def step_unreachable(context: Any) -> None:
     assert isinstance(context.error, context.expected), repr(context.error)
+
+
+@when('another writer leaves members and leases with odd names and addresses, and instances send them')
+def step_odd_instances(context: Any) -> None:
+    context.read = []
+    for field, text in odd_entries.ODD_INSTANCES:
+        member = msgspec.json.encode(dataclasses.replace(_MEMBER, **{field: text}))
+        if Rows.decode([TableRow(f'{MEMBER_PREFIX}i', member, 1)]).members_by_id:
+            context.read.append(('a member of the table', field, text))
+        request = msgspec.json.encode(ExchangeRequest(msgspec.Raw(member), 1, '', {}, ''))  # type: ignore[arg-type]
+        _note_if_read(context, 'a member that asks', ExchangeRequest, request, field, text)
+        if field == 'data_centre':
+            continue
+        lease = msgspec.json.encode(dataclasses.replace(_LEASE, **{field: text}))
+        if Rows.decode([TableRow(LEASE_KEY, lease, 1)]).lease is not None:
+            context.read.append(('a lease of the table', field, text))
+        if field == 'address':
+            _note_if_read(context, 'news', News, msgspec.json.encode(News(sender=text)), field, text)
+
+
+def _note_if_read(context: Any, what: str, kind: type, raw: bytes, field: str, text: str) -> None:
+    with contextlib.suppress(UnreadableError):
+        JsonDecoder[Any](kind).decode(raw)
+        context.read.append((what, field, text))
+
+
+@then('none of them is read, and sound ones, a lease that nobody holds and news of nobody still are')
+def step_no_odd_instance(context: Any) -> None:
+    assert not context.read, context.read
+    free = dataclasses.replace(_LEASE, instance=InstanceId(''), address='')
+    rows_of_two = [
+        TableRow(f'{MEMBER_PREFIX}i', msgspec.json.encode(_MEMBER), 1),
+        TableRow(LEASE_KEY, msgspec.json.encode(free), 2),
+    ]
+    found = Rows.decode(rows_of_two)
+    assert found.members_by_id and found.lease is not None, found
+    assert JsonDecoder[News](News).decode(b'{}') == News()
--- a/packages/fescuequay-core/fescuequay_core/relay/fields.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/fields.py
@@ -1,7 +1,11 @@
 """Texts that are sent as parts of messages, headers and paths: which of them end none of these early."""
 
 import re
-from typing import Final
+from typing import Annotated, Final
+
+import msgspec
+
+from fescuequay_core.types import InstanceId
 
 #: Characters that one program or another takes for the end of a line.
 _LINE_END: Final = re.compile('[\0\r\n]')
@@ -9,6 +13,19 @@
 #: Maximum length of a name in settings and records, in characters; the keys of rows are not longer.
 _MAX_NAME_CHARS: Final = 190
 
+#: Name of an instance in records and messages.
+InstanceName = Annotated[InstanceId, msgspec.Meta(pattern=r'\A[!-~]+\Z', max_length=_MAX_NAME_CHARS)]
+
+#: ``host:port`` of a listener in records and messages.
+ListenerAddress = Annotated[str, msgspec.Meta(pattern=r'\A[!-~]+:[0-9]{1,5}\Z', max_length=_MAX_NAME_CHARS)]
+
+#: The same where they may be empty, as in a lease that nobody holds.
+OptionalInstanceName = Annotated[InstanceId, msgspec.Meta(pattern=r'\A[!-~]*\Z', max_length=_MAX_NAME_CHARS)]
+OptionalAddress = Annotated[str, msgspec.Meta(pattern=r'\A([!-~]+:[0-9]{1,5})?\Z', max_length=_MAX_NAME_CHARS)]
+
+#: Name of a data centre in records and messages.
+DataCentreName = Annotated[str, msgspec.Meta(pattern=r'\A[^\x00-\x20\x7f]+\Z', max_length=_MAX_NAME_CHARS)]
+
 _NAME: Final = re.compile('[^\0\r\n ]+')
 
 
--- a/packages/fescuequay-core/fescuequay_core/relay/model.py
+++ b/packages/fescuequay-core/fescuequay_core/relay/model.py
@@ -7,7 +7,14 @@
 import msgspec
 
 from fescuequay_core.decoding import MAX_INTEGER, Integer, Natural
-from fescuequay_core.types import InstanceId, LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
+from fescuequay_core.relay.fields import (
+    DataCentreName,
+    InstanceName,
+    ListenerAddress,
+    OptionalAddress,
+    OptionalInstanceName,
+)
+from fescuequay_core.types import LeaderState, OrganisationId, Role, ServiceId, TargetId, Term
 
 DatabaseName = NewType('DatabaseName', str)
 Credential = NewType('Credential', str)
@@ -247,10 +254,10 @@
     :param reads: Newest format of lists that its build reads.
     """
 
-    instance: InstanceId
+    instance: InstanceName
     incarnation: str
-    address: str
-    data_centre: str
+    address: ListenerAddress
+    data_centre: DataCentreName
     is_leaving: bool = False
     capacity: float = 0.0
     reads: Natural = 1
@@ -268,9 +275,9 @@
     :param version: Version of the row.
     """
 
-    instance: InstanceId
+    instance: OptionalInstanceName
     incarnation: str
-    address: str
+    address: OptionalAddress
     token: Natural
     nonce: str
     version: Natural = 0
--- a/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fescuequay_core.decoding import Integer, Natural
+from fescuequay_core.relay.fields import OptionalAddress
 from fescuequay_core.relay.history import Difference
 from fescuequay_core.relay.model import Configuration, LeaderRecord, LeaseRecord, MemberRecord, TargetDescription
 from fescuequay_core.types import InstanceId, ServiceId, TargetId
@@ -164,7 +165,7 @@
     """
 
     configuration_version: Integer = -1
-    sender: str = ''
+    sender: OptionalAddress = ''
     duty: LeaseRecord | None = None
     resigned: Natural = 0
 
