--- a/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hops.py
@@ -16,7 +16,10 @@
 
     @abc.abstractmethod
     def send(self, frame: Frame) -> None:
-        """Send a frame; does nothing when the stream is closed."""
+        """Send a frame; does nothing when the stream is closed.
+
+        :raises UnsendableFrame: Nothing was sent, since the other end would not decode it.
+        """
 
     @abc.abstractmethod
     def unsent_bytes(self) -> int:
@@ -32,7 +35,7 @@
 
     @abc.abstractmethod
     def receive(self, frame: Frame) -> None:
-        """Handle a frame of the other end."""
+        """Handle a frame of the other end. :raises FrameError: The other end may not send it; the stream is ended."""
 
     @abc.abstractmethod
     def end(self, detail: str) -> None:
