Run a waiting statement in its own transaction at the emulator's targets

The instance had given up the statement after its time limit and closed the connection while the statement waited for a slot. The model's connection then forgot its transaction, and the statement ran outside one; a write would have been applied at once.

No product fault: a target whose connection ends rolls the transaction back. The statement now keeps the transaction in which it arrived, so that a read or write runs inside it and a write that waits leaves nothing; a COMMIT that waits still takes effect, as before. The checker is unchanged.

--- a/packages/fescuequay-emulator/fescuequay_emulator/connections.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/connections.py
@@ -179,6 +179,9 @@
         if name is not None and shape is None:
             return self._failure(refusals.UNKNOWN_STATEMENT)
         is_write = statement.kind is StatementKind.WRITE or (shape is not None and shape[1])
+        # The connection may end while the statement waits; it still runs in its transaction, which is then rolled back
+        # unless this was its end.
+        transaction = self.transaction
         try:
             await target.occupy_slot()
         except Refused as refusal:
@@ -187,31 +190,31 @@
             await asyncio.get_running_loop().create_future()
         if after is not None and not self._has_applied(after):
             return self._failure(refusals.BEHIND)
-        must_lead = is_write or (self.transaction > 0 and self._may_write)
+        must_lead = is_write or (transaction > 0 and self._may_write)
         if must_lead and target.role is not Role.PRIMARY:
             self.transaction = 0
             return self._failure(refusals.NOT_LEADING)
-        target.record_execution(self._describe_execution(request, statement, shape))
+        target.record_execution(self._describe_execution(request, statement, shape, transaction))
         if target.fails():
             return self._failure(refusals.FAILED)
-        self._apply_effects(request, statement, is_write=is_write)
+        self._apply_effects(request, statement, transaction, is_write=is_write)
         if target.loses_answer():
             await asyncio.get_running_loop().create_future()
         return self._success(f'{target.name}:{request}')
 
-    def _apply_effects(self, request: RequestId, statement: Statement, *, is_write: bool) -> None:
+    def _apply_effects(self, request: RequestId, statement: Statement, transaction: int, *, is_write: bool) -> None:
         if statement.kind is StatementKind.COMMIT:
             if self._writes:
                 self.target.commit(request, tuple(self._writes))
             self.transaction = 0
             self._writes = []
-        elif is_write and self.transaction:
+        elif is_write and transaction:
             self._writes.append(request)
         elif is_write:
             self.target.commit(request, (request,))
 
     def _describe_execution(
-        self, request: RequestId, statement: Statement, shape: tuple[str, bool] | None
+        self, request: RequestId, statement: Statement, shape: tuple[str, bool] | None, transaction: int
     ) -> Execution:
         target = self.target
         return Execution(
@@ -223,7 +226,7 @@
             self._organisation,
             dict(self.values),
             shape,
-            self.transaction,
+            transaction,
             target.visible_commits(),
             target.role is Role.PRIMARY,
             self._caller,
