Give the emulator a byte boundary, and trace statements by the bytes that callers sent

Wire is the boundary: what an instance decodes of a caller's bytes, in any chunks, and writes for a statement, and a plain reading of a line that uses no codec. A target of the model then takes CR LF, LF, CR or NUL for the end of a line and runs each request that it reads. The checker splits the callers' bytes at CR LF and reports `unasked` for a statement under an id that no caller sent as a message, under a reserved id, with another text, or for another organisation than its caller's; the last was unchecked before.

--- a/packages/fescuequay-emulator/fescuequay_emulator/callers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/callers.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from fescuequay_core.relay.model import (
@@ -18,6 +18,7 @@
 )
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.types import RequestId
+from fescuequay_emulator.wire import Wire
 from fescuequay_entry.relay.ports import (
     CallerConnection,
     CallerHandler,
@@ -86,9 +87,17 @@
 
 
 class ModelCaller(CallerConnection):
-    """Both ends of a session's connection; messages arrive without delay."""
+    """Both ends of a session's connection; messages arrive without delay.
 
-    def __init__(self) -> None:
+    :param wire: Encoding of the caller's messages; nothing if they are handed over as they are.
+    """
+
+    def __init__(self, wire: Wire | None = None) -> None:
+        #: All bytes that the caller sent, and how they are cut into chunks.
+        self.stream = bytearray()
+        self.cut: Callable[[bytes], Iterable[bytes]] = lambda content: (content,)
+        self._wire = wire
+        self._input = None if wire is None else wire.open_input()
         self._inbox: collections.deque[CallerMessage] = collections.deque()
         self._inbox_waiter: asyncio.Future[None] | None = None
         self._answers: asyncio.Queue[tuple[Refused | None, str, SessionState] | None] = asyncio.Queue()
@@ -97,9 +106,24 @@
 
     def send(self, message: CallerMessage) -> None:
         """Queue a message for the instance."""
+        if self._wire is not None:
+            self.send_bytes(self._wire.format(message))
+            return
         self._inbox.append(message)
         self._wake()
 
+    def send_bytes(self, content: bytes) -> None:
+        """Queue what the instance decodes."""
+        assert self._input is not None  # noqa: S101 -- bytes need an encoding
+        self.stream += content
+        for chunk in self.cut(content):
+            self._inbox.extend(self._input.feed(chunk))
+        self._wake()
+
+    def has_unread_answer(self) -> bool:
+        """:returns: Whether the caller has not read an answer."""
+        return not self._answers.empty()
+
     def disconnect(self) -> None:
         """Close the connection from the caller's side."""
         self.is_disconnected = True
@@ -156,9 +180,15 @@
 
 
 class ModelListener(CallerListener):
-    """The listener of one instance for callers."""
+    """The listener of one instance for callers.
 
-    def __init__(self) -> None:
+    :param wire: Encoding of the callers' messages; nothing if they are handed over as they are.
+    :param streams: Bytes of all connections, to which each new one is appended.
+    """
+
+    def __init__(self, wire: Wire | None = None, streams: list[bytearray] | None = None) -> None:
+        self._wire = wire
+        self._streams = streams
         self._handler: CallerHandler | None = None
         self.is_accepting = False
         self.connections: dict[ModelCaller, None] = {}
@@ -176,7 +206,9 @@
         """:returns: A new connection, served by a task of the instance; nothing when none is accepted."""
         if not self.is_accepting or self._handler is None:
             return None
-        caller = ModelCaller()
+        caller = ModelCaller(self._wire)
+        if self._streams is not None:
+            self._streams.append(caller.stream)
         self.connections[caller] = None
         task = asyncio.ensure_future(self._handler(caller))
         task.add_done_callback(lambda _: self.connections.pop(caller, None))
@@ -212,6 +244,8 @@
         self.database = database
         self.values: dict[str, str] = {}
         self.shapes: dict[str, tuple[str, bool]] = {}
+        #: How its messages are cut into chunks; whole by default.
+        self.cut: Callable[[bytes], Iterable[bytes]] | None = None
         self._sent = sent
         self._rng = rng
         self._caller: ModelCaller | None = None
@@ -230,6 +264,8 @@
         self._caller = listener.connect()
         if self._caller is None:
             return None
+        if self.cut is not None:
+            self._caller.cut = self.cut
         self._opened += 1
         self._caller.send(Opening(self.database, self.credential))
         answer = await self._caller.next_answer()
@@ -247,6 +283,16 @@
         self.values = {}
         self.shapes = {}
 
+    def has_unread(self) -> bool:
+        """:returns: Whether the caller has not read an answer."""
+        return self._caller is not None and self._caller.has_unread_answer()
+
+    async def exchange(self, content: bytes) -> None:
+        """Send bytes that are no statement of this caller, and wait for the answer."""
+        assert self._caller is not None  # noqa: S101 -- sessions are opened first
+        self._caller.send_bytes(content)
+        await self._caller.next_answer()
+
     async def execute(self, statement: Statement) -> SentStatement:
         """Send one statement and wait for its outcome.
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/checker.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/checker.py
@@ -8,7 +8,9 @@
 from fescuequay_core.relay.model import Configuration, Consistency, Route, Statement, StatementKind
 from fescuequay_core.types import InstanceId, RequestId, ServiceId, TargetId, Term
 from fescuequay_emulator.callers import SentStatement, StatementOutcome
+from fescuequay_emulator.origins import Origins
 from fescuequay_emulator.targets import Commit, Execution
+from fescuequay_emulator.wire import Wire
 
 #: Window of an organisation's limit, in seconds, and the share and number by which it may be exceeded, as promised to
 #: the sites.
@@ -93,9 +95,16 @@
 
 
 class Checker:
-    """Records observations; ``violations`` checks them at the end of a run."""
+    """Records observations; ``violations`` checks them at the end of a run.
 
-    def __init__(self) -> None:
+    :param wire: Encoding of the callers' messages; nothing if they are handed over as they are.
+    """
+
+    def __init__(self, wire: Wire | None = None) -> None:
+        self._wire = wire
+        #: Bytes of each connection of a caller, and the number of messages that held a request inside.
+        self.streams: list[bytearray] = []
+        self.hidden_requests = 0
         self.sent: list[SentStatement] = []
         self.executions: list[Execution] = []
         self.changes: list[PrimaryChange] = []
@@ -130,13 +139,16 @@
         return tuple(violation for check in checks for violation in check)
 
     def _check_origin(self, sent_by_request: dict[RequestId, SentStatement]) -> Iterator[Violation]:
+        configurations = [configuration for _, configuration in self.configurations]
+        origins = Origins(self.sent, configurations, self.streams, self._wire)
         for execution in self.executions:
-            sent = sent_by_request.get(execution.request)
-            if sent is None or (execution.statement.text != sent.statement.text and execution.shape is None):
-                yield Violation(
-                    'unasked', execution.at, f'{execution.target} ran {execution.request} {execution.statement.text}'
-                )
-            elif execution.shape != sent.shape:
+            fault = origins.find_fault(execution)
+            if fault:
+                ran = f'{execution.request} {execution.statement.text!r}, sent on by {execution.instance}'
+                yield Violation('unasked', execution.at, f'{execution.target} ran {ran}: {fault}')
+                continue
+            sent = sent_by_request[execution.request]
+            if execution.shape != sent.shape:
                 yield Violation(
                     'pinned',
                     execution.at,
--- a/packages/fescuequay-emulator/fescuequay_emulator/connections.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/connections.py
@@ -1,6 +1,7 @@
 """Simulated connections of instances to targets."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 from fescuequay_core.types import OrganisationId, RequestId, Role, Term
 from fescuequay_emulator.network import Network
 from fescuequay_emulator.targets import Execution, ModelTarget
+from fescuequay_emulator.wire import TargetCall, Wire, first_careless_line, split_carelessly
 from fescuequay_entry.relay.ports import Outcome, TargetConnection, TargetDriver, TargetLost, ignore_acceptance
 
 
@@ -26,9 +28,12 @@
     :param target: The target.
     :param caller: Name of the instance.
     :param organisation: Organisation that the connection authenticates as.
+    :param wire: Encoding of the statements, which the target reads carelessly; nothing if it gets them as they are.
     """
 
-    def __init__(self, target: ModelTarget, caller: str, organisation: OrganisationId) -> None:
+    def __init__(
+        self, target: ModelTarget, caller: str, organisation: OrganisationId, wire: Wire | None = None
+    ) -> None:
         self.target = target
         self.is_open = True
         self.position = None
@@ -37,6 +42,7 @@
         self.transaction = 0
         self._caller = caller
         self._organisation = organisation
+        self._wire = wire
         self._may_write = True
         self._writes: list[RequestId] = []
         self._broken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -65,7 +71,13 @@
         after: LogPosition | None = None,
     ) -> Outcome:
         """Execute a caller's statement."""
-        return await self._call(lambda: self._execute_statement(request, statement, name, after))
+        read = statement
+        if self._wire is not None:
+            read = dataclasses.replace(statement, text=first_careless_line(statement.text))
+        return await self._call(
+            lambda: self._execute_statement(request, read, name, after),
+            lambda connection: connection.execute(request, statement, name=name, after=after),
+        )
 
     async def begin(self, *, is_write: bool, after: LogPosition | None) -> Outcome:
         """Begin a transaction."""
@@ -98,7 +110,7 @@
             self.values[name] = value
             return self._success()
 
-        return await self._call(set_value)
+        return await self._call(set_value, lambda connection: connection.set_value(name, value))
 
     async def prepare(self, name: str, shape: str, *, is_write: bool) -> Outcome:
         """Prepare a statement."""
@@ -107,7 +119,7 @@
             self.shapes[name] = (shape, is_write)
             return self._success()
 
-        return await self._call(prepare)
+        return await self._call(prepare, lambda connection: connection.prepare(name, shape, is_write=is_write))
 
     async def reset(self) -> Outcome:
         """Clear all session values and prepared statements."""
@@ -149,28 +161,42 @@
     async def _no_operation(self) -> Outcome:
         return self._success()
 
-    async def _call(self, step: Callable[[], Awaitable[Outcome]]) -> Outcome:
-        call = asyncio.ensure_future(self._round_trip(step))
-        pending: set[asyncio.Future[Any]] = {call, self._broken}
+    async def _call(self, step: Callable[[], Awaitable[Outcome]], call: TargetCall | None = None) -> Outcome:
+        written = b'' if self._wire is None or call is None else self._wire.write(call)
+        if isinstance(written, Outcome):
+            return written
+        round_trip = asyncio.ensure_future(self._round_trip(step, written))
+        pending: set[asyncio.Future[Any]] = {round_trip, self._broken}
         done, _ = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        if call in done:
-            return call.result()
-        call.cancel()
+        if round_trip in done:
+            return round_trip.result()
+        round_trip.cancel()
         raise TargetLost('the target ended the connection')
 
-    async def _round_trip(self, step: Callable[[], Awaitable[Outcome]]) -> Outcome:
+    async def _round_trip(self, step: Callable[[], Awaitable[Outcome]], written: bytes) -> Outcome:
         target = self.target
         try:
             await target.network.transmit(self._caller, target.name)
             if not target.is_alive:
                 await asyncio.get_running_loop().create_future()
             outcome = await step()
+            self._run_further_lines(written)
             await target.network.transmit(target.name, self._caller)
         except ConnectionRefusedError as error:
             raise TargetLost(str(error)) from error
         self.position = outcome.position
         return outcome
 
+    def _run_further_lines(self, written: bytes) -> None:
+        """Run the requests that a careless target reads behind the first line."""
+        if self._wire is None:
+            return
+        for line in tuple(split_carelessly(written))[1:]:
+            request = self._wire.parse_request(line)
+            if request is not None:
+                statement = Statement(StatementKind.READ, request[1])
+                self.target.record_execution(self._describe_execution(request[0], statement, None, self.transaction))
+
     async def _execute_statement(
         self, request: RequestId, statement: Statement, name: str | None, after: LogPosition | None
     ) -> Outcome:
@@ -251,12 +277,16 @@
     :param network: The network.
     :param targets_by_address: Targets by the address that they listen on.
     :param caller: Name of the instance.
+    :param wire: Encoding of the statements; nothing if targets get them as they are.
     """
 
-    def __init__(self, network: Network, targets_by_address: dict[str, ModelTarget], caller: str) -> None:
+    def __init__(
+        self, network: Network, targets_by_address: dict[str, ModelTarget], caller: str, wire: Wire | None = None
+    ) -> None:
         self._network = network
         self._targets_by_address = targets_by_address
         self._caller = caller
+        self._wire = wire
 
     async def connect(
         self,
@@ -288,7 +318,7 @@
             await self._network.transmit(found.name, self._caller)
         except ConnectionRefusedError as error:
             raise TargetLost(str(error), is_refusal=True) from error
-        connection = ModelConnection(found, self._caller, organisation)
+        connection = ModelConnection(found, self._caller, organisation, self._wire)
         found.connections[connection] = None
         found.opened_connections += 1
         return connection
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -39,6 +39,7 @@
 from fescuequay_emulator.table import TABLE_NODE, FeedEntries, ModelFeed, ModelTable, Store
 from fescuequay_emulator.targets import Commit, ModelTarget
 from fescuequay_emulator.virtual_loop import VirtualLoop, current_process
+from fescuequay_emulator.wire import Wire
 from fescuequay_entry.relay.hops import HopAcceptor
 from fescuequay_entry.relay.instance import Adapters, Instance
 from fescuequay_entry.relay.ports import OperatorEntry
@@ -113,10 +114,12 @@
 
     :param plan: Size of the deployment.
     :param seed: Seed of the random number generators.
+    :param wire: Encoding between callers, instances and targets; by default messages are handed over as they are.
     """
 
-    def __init__(self, plan: Plan, seed: int) -> None:
+    def __init__(self, plan: Plan, seed: int, wire: Wire | None = None) -> None:
         self.plan = plan
+        self.wire = wire
         self.loop = VirtualLoop()
         # Instances randomise their pauses with the global generator, so it is seeded too.
         random.seed(seed)
@@ -129,7 +132,7 @@
         self.store = Store(self.network, self.rng)
         self.operator_entries: FeedEntries[OperatorEntry] = FeedEntries(self.store)
         self.registry: FeedEntries[TargetDescription] = FeedEntries(self.store)
-        self.checker = Checker()
+        self.checker = Checker(wire)
         self.targets: dict[str, ModelTarget] = {}
         self.instances: dict[str, Instance] = {}
         self.listeners: dict[str, ModelListener] = {}
@@ -258,10 +261,10 @@
             capacity=MachineLimits(1.0, self.plan.cores) if self.plan.cores else None,
         )
         self.names_by_address[f'{name}:1'] = name
-        listener = ModelListener()
+        listener = ModelListener(self.wire, self.checker.streams)
         adapters = Adapters(
             listener,
-            ModelDriver(self.network, self._targets_by_address, name),
+            ModelDriver(self.network, self._targets_by_address, name, self.wire),
             ModelTable(self.store, name),
             ModelFeed(self.operator_entries, name),
             ModelFeed(self.registry, name),
