--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -19,6 +19,8 @@
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
 from fescuequay_entry.relay.statement_runner import StatementRunner
+from fescuequay_platform import connections
+from fescuequay_platform.codec import LineDecoder, Message, WireError
 
 
 #: Limit of a promotion that is not bound by its lease, in seconds.
@@ -87,6 +89,23 @@
         raise
 
 
+class _LineFeedDecoder(LineDecoder):
+    """Takes a line feed for the end of a message, and what follows for the next one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> Iterator[Message | WireError]:
+        """:returns: The message, or the error, of each line."""
+        *lines, self._rest = (self._rest + chunk).split(b'\n')
+        for line in lines:
+            if line.endswith(b'\r'):
+                yield from LineDecoder().feed(line + b'\n')
+            else:
+                yield WireError('a line does not end with CR LF')
+
+
 @contextlib.contextmanager
 def _ignore_terms() -> Iterator[None]:
     needs_probe = Coordinator._needs_probe
@@ -137,6 +156,7 @@
         'the verdict on writes that were sent': lambda: patch(
             StatementRunner, '_write_once', lambda *arguments: _claim_not_run(write_once, *arguments)
         ),
+        'the rule that CR LF alone ends a message': lambda: patch(connections, 'LineDecoder', _LineFeedDecoder),
     }[guard]()
 
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -1,6 +1,7 @@
 """Command line of the emulator."""
 
 import dataclasses
+import importlib
 import logging
 import pathlib
 import statistics
@@ -13,11 +14,36 @@
 from fescuequay_emulator import experiments, scenarios
 from fescuequay_emulator.experiments import Setting
 from fescuequay_emulator.scenarios import Figures
+from fescuequay_emulator.wire import Wire
 from fescuequay_entry import logs
 
 _SCENARIO = click.Path(path_type=pathlib.Path, exists=True, dir_okay=False)
 
 
+class _WireType(click.ParamType[Wire]):
+    """Name of a subclass of ``Wire``, such as ``package.module:Name``."""
+
+    name = 'MODULE:NAME'
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Wire:
+        """:returns: An object of the class. :raises click.BadParameter: There is no such class."""
+        module, _, name = value.partition(':')
+        if not (module and name):
+            self.fail(f'{value!r} does not have the form module:NAME', param, ctx)
+        try:
+            found = getattr(importlib.import_module(module), name, None)
+        except ImportError as error:
+            self.fail(f'{module} cannot be imported: {error}', param, ctx)
+        if not (isinstance(found, type) and issubclass(found, Wire)):
+            self.fail(f'{name} in {module} is no subclass of {Wire.__module__}.{Wire.__name__}', param, ctx)
+        return found()
+
+
+_wire_option = click.option(
+    '--wire', type=_WireType(), help='Encoding of messages; by default they are handed over as they are.'
+)
+
+
 def _parse_settings(texts: tuple[str, ...]) -> tuple[Setting, ...]:
     """Parse settings such as ``fescuequay_core.relay.permits:PERMIT_S=3``."""
     settings = []
@@ -56,12 +82,13 @@
 @click.option('--seed', default=1, help='Seed of the random number generator.')
 @click.option('--json', 'as_json', is_flag=True, help='Print figures as JSON.')
 @click.option('--log', is_flag=True, help="Print the instances' log lines.")
-def run(scenario: pathlib.Path, seed: int, *, as_json: bool, log: bool) -> None:
+@_wire_option
+def run(scenario: pathlib.Path, seed: int, wire: Wire | None, *, as_json: bool, log: bool) -> None:
     """Run SCENARIO once."""
     if log:
         logs.configure('info')
         logging.getLogger('fescuequay').setLevel(logging.INFO)
-    figures = scenarios.run_scenario(scenarios.load(scenario), seed)
+    figures = scenarios.run_scenario(scenarios.load(scenario), seed, wire)
     _print_figures(figures, as_json=as_json)
     sys.exit(1 if figures.broken else 0)
 
@@ -139,18 +166,25 @@
     is_flag=True,
     help='In each schedule the table also comes back from a copy, and a data centre is evacuated.',
 )
-def hunt(days: int, first: int, *, drills: bool) -> None:
+@_wire_option
+def hunt(days: int, first: int, wire: Wire | None, *, drills: bool) -> None:
     """Run random schedules of faults; shrink and print those that violate a guarantee."""
     failing_count = 0
+    hidden_counts: list[int] = []
     with click.progressbar(length=days, file=sys.stderr) as bar:
 
-        def on_scenario(_seed: int, _figures: Figures) -> None:
+        def on_scenario(_seed: int, figures: Figures) -> None:
+            hidden_counts.append(figures.hidden_requests)
             bar.update(1)
 
-        for failing in experiments.hunt(range(first, first + days), on_scenario, with_drills=drills):
+        for failing in experiments.hunt(range(first, first + days), on_scenario, with_drills=drills, wire=wire):
             failing_count += 1
             faults: list[Any] = [msgspec.structs.asdict(fault) for fault in failing.scenario.faults]
             click.echo(f'\nseed {failing.seed}: {msgspec.json.encode(faults).decode()}')
             _print_figures(failing.figures, as_json=False)
     click.echo(f'{days} schedules, {failing_count} with a broken promise')
+    click.echo(
+        f'requests inside fields of other messages: {sum(hidden_counts)}, none in {hidden_counts.count(0)} schedules'
+        + ('' if wire is not None else ' (messages have no encoding without --wire)')
+    )
     sys.exit(1 if failing_count else 0)
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -16,6 +16,7 @@
     DRILL_KIND,
     EVACUATION_KIND,
     FAULT_KINDS,
+    HIDDEN_KIND,
     HOLD_KIND,
     TRANSACTIONS_KIND,
     Fault,
@@ -23,6 +24,7 @@
     Scenario,
     run_scenario,
 )
+from fescuequay_emulator.wire import Wire
 from fescuequay_emulator.world import Plan
 
 #: Number of resamples of the bootstrap, and the confidence level of its interval.
@@ -32,6 +34,10 @@
 #: Largest number of faults in a random schedule.
 _MAX_FAULTS: Final = 4
 
+#: Share of the random schedules that use gateways, and the number of connections of a target with which they do.
+_GATEWAY_SHARE: Final = 0.5
+_GATEWAY_CONNECTIONS: Final = 12
+
 #: Services of a deployment in ``scale``: the minimum, and instances per service above it.
 _MIN_SERVICES: Final = 4
 _INSTANCES_PER_SERVICE: Final = 20
@@ -135,7 +141,11 @@
 
 
 def hunt(
-    seeds: Sequence[int], on_scenario: Callable[[int, Figures], None], *, with_drills: bool = False
+    seeds: Sequence[int],
+    on_scenario: Callable[[int, Figures], None],
+    *,
+    with_drills: bool = False,
+    wire: Wire | None = None,
 ) -> Iterator[FailingSchedule]:
     """Run random schedules and shrink those that violate a guarantee.
 
@@ -143,19 +153,20 @@
     :param on_scenario: Called after each run with its seed and figures.
     :param with_drills: Whether each schedule also has drills: the table comes back from a copy, a data centre is
         evacuated.
+    :param wire: Encoding of messages; without one they are handed over as they are, and no request hides inside one.
     :returns: The failing schedules.
     """
     for seed in seeds:
         scenario = hunted_scenario(seed, with_drills=with_drills)
-        figures = run_scenario(scenario, seed)
+        figures = run_scenario(scenario, seed, wire)
         on_scenario(seed, figures)
         if figures.broken:
-            yield shrink(FailingSchedule(seed, scenario, figures))
+            yield shrink(FailingSchedule(seed, scenario, figures), wire)
 
 
 def hunted_scenario(seed: int, *, with_drills: bool = False) -> Scenario:
-    """:returns: The schedule of a seed in a hunt: random faults, late deliveries, and drills where they are wanted."""
-    scenario = with_late_deliveries(random_scenario(seed), seed)
+    """:returns: The schedule of a seed in a hunt: random faults, late deliveries, hidden requests, drills if wanted."""
+    scenario = with_hidden_requests(with_late_deliveries(random_scenario(seed), seed), seed)
     return with_random_drills(scenario, seed) if with_drills else scenario
 
 
@@ -201,6 +212,21 @@
     return msgspec.structs.replace(scenario, plan=plan, faults=(*scenario.faults, held, replaced))
 
 
+def with_hidden_requests(scenario: Scenario, seed: int) -> Scenario:
+    """Add callers whose messages hold a request inside a field, on some seeds in a deployment with gateways.
+
+    :param scenario: The scenario.
+    :param seed: Seed of the fault.
+    :returns: The scenario with that fault.
+    """
+    rng = random.Random(f'hidden {seed}')
+    hidden = Fault(at=round(rng.uniform(0, 8), 2), kind=HIDDEN_KIND, for_s=round(rng.uniform(2, 5), 2))
+    plan = scenario.plan
+    if rng.random() < _GATEWAY_SHARE:
+        plan = dataclasses.replace(plan, cores=1.0, max_connections=_GATEWAY_CONNECTIONS)
+    return msgspec.structs.replace(scenario, plan=plan, faults=(*scenario.faults, hidden))
+
+
 def with_random_drills(scenario: Scenario, seed: int) -> Scenario:
     """Add drills to a schedule, at any moment and also in quick succession.
 
@@ -227,18 +253,19 @@
     return msgspec.structs.replace(scenario, faults=(*scenario.faults, *drills, evacuation))
 
 
-def shrink(failing: FailingSchedule) -> FailingSchedule:
+def shrink(failing: FailingSchedule, wire: Wire | None = None) -> FailingSchedule:
     """Remove faults one by one for as long as a guarantee is still violated.
 
     :param failing: The failing schedule.
+    :param wire: Encoding of messages in its run.
     :returns: A schedule from which no single fault can be removed.
     """
     for fault in failing.scenario.faults:
         kept = tuple(other for other in failing.scenario.faults if other is not fault)
         smaller = msgspec.structs.replace(failing.scenario, faults=kept)
-        figures = run_scenario(smaller, failing.seed)
+        figures = run_scenario(smaller, failing.seed, wire)
         if figures.broken:
-            return shrink(FailingSchedule(failing.seed, smaller, figures))
+            return shrink(FailingSchedule(failing.seed, smaller, figures), wire)
     return failing
 
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -17,7 +17,9 @@
 from fescuequay_emulator.network import CutMode
 from fescuequay_emulator.open_transactions import TransactionsOnReplacedPrimary
 from fescuequay_emulator.peers import PROMOTER_NODE
+from fescuequay_emulator.rude_callers import hide_requests
 from fescuequay_emulator.table import TABLE_NODE, StoreFaults
+from fescuequay_emulator.wire import Wire
 from fescuequay_emulator.world import DATA_CENTRES, Plan, World
 
 #: Time after the end of the load for the deployment to settle, in seconds.
@@ -87,6 +89,7 @@
     :param seconds: Time over which calls and messages were counted.
     :param control_bytes: Bytes between instances by kind of message, if ``Plan.counts_bytes``.
     :param control_messages: Messages between instances by kind, if ``Plan.counts_bytes``.
+    :param hidden_requests: Number of messages of callers that held a request inside.
     """
 
     broken: tuple[Violation, ...]
@@ -100,6 +103,7 @@
     seconds: float
     control_bytes: dict[str, int]
     control_messages: dict[str, int]
+    hidden_requests: int
 
 
 def load(path: pathlib.Path) -> Scenario:
@@ -111,14 +115,15 @@
         raise ValueError(f'{path}: {error}') from error
 
 
-def run_scenario(scenario: Scenario, seed: int) -> Figures:
+def run_scenario(scenario: Scenario, seed: int, wire: Wire | None = None) -> Figures:
     """Run a scenario.
 
     :param scenario: The scenario.
     :param seed: Seed of the random number generator; equal seeds give equal runs.
+    :param wire: Encoding of messages; by default they are handed over as they are, and no request hides inside one.
     :returns: The figures of the run.
     """
-    world = World(scenario.plan, seed)
+    world = World(scenario.plan, seed, wire)
     callers = Load(world, scenario.per_s, scenario.sessions)
 
     async def run_load_and_faults(_: World) -> None:
@@ -163,6 +168,7 @@
         world.counted_duration_s(),
         dict(world.control_bytes),
         dict(world.control_messages),
+        world.checker.hidden_requests,
     )
 
 
@@ -298,6 +304,10 @@
     await (event.cut_off_reader(fault.for_s) if fault.how == 'cut' else event.run(fault.for_s))
 
 
+async def _hide_requests(world: World, fault: Fault) -> None:
+    await hide_requests(world, f'rude {fault}', fault.for_s)
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -369,13 +379,14 @@
 FAULT_KINDS: Final = tuple(_ACTIONS_BY_KIND)
 
 #: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, operators
-#: evacuate a data centre, connections to the table go silent, a promotion's request is held up, and transactions stay
-#: open on a primary that is replaced.
+#: evacuate a data centre, connections to the table go silent, a promotion's request is held up, transactions stay
+#: open on a primary that is replaced, and callers hide requests inside fields.
 DRILL_KIND: Final = 'restore'
 EVACUATION_KIND: Final = 'evacuate'
 SILENCE_KIND: Final = 'silence'
 HOLD_KIND: Final = 'hold_promotion'
 TRANSACTIONS_KIND: Final = 'replace_under_transactions'
+HIDDEN_KIND: Final = 'hide_requests'
 _ACTIONS_BY_KIND.update(
     {
         DRILL_KIND: _restore,
@@ -383,5 +394,6 @@
         SILENCE_KIND: _silence,
         HOLD_KIND: _hold_promotion,
         TRANSACTIONS_KIND: _replace_under_transactions,
+        HIDDEN_KIND: _hide_requests,
     }
 )
