Hide answers inside rows of the emulator's targets

The fault hide_answers lets the targets of a service answer a share of the reads with a row that holds a DONE behind LF, CR, CR CR, LF CR or NUL. The platform's adapters read these answers and write those to callers; the checker reports `mixed` when a caller is sent a line that a careless one reads as several.

The guards in relay_guards.py are two: the former decoder alone, and with it unchecked encoding.

--- a/features/line_wire.py
+++ b/features/line_wire.py
@@ -1,12 +1,15 @@
 """The line protocol as a byte boundary of the emulator: the platform's adapters, and a plain reading beside them."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterator, Sequence
 from typing import Any, TypeVar
 
+from fescuequay_core.relay.model import SessionState
 from fescuequay_core.types import RequestId
+from fescuequay_emulator.load import read
 from fescuequay_emulator.wire import MESSAGE_END, CallerInput, TargetCall, Wire
-from fescuequay_entry.relay.ports import CallerMessage, Opening, Outcome, Query
+from fescuequay_entry.relay.ports import CallerMessage, Opening, Outcome, Query, TargetLost
+from fescuequay_platform import statements
 from fescuequay_platform.connections import LineCaller, LineProtocol, LineTarget
 
 Result = TypeVar('Result')
@@ -70,6 +73,25 @@
         protocol.transport = recorder
         return _run_to_first_wait(call(LineTarget(protocol))) or recorder.written
 
+    def read_answer(self, answer: Outcome) -> Outcome:
+        """:returns: What the platform's adapter reads. :raises TargetLost: It cannot be read."""
+        protocol = LineProtocol()
+        state, position = statements.format_state(answer.state), statements.format_position(answer.position)
+        lines = (*(f'ROW {row}' for row in answer.rows), f'DONE {answer.signature}', f'READY {state} {position}')
+        protocol.data_received(b''.join(line.encode() + MESSAGE_END for line in lines))
+        found = _run_to_first_wait(LineTarget(protocol).execute(RequestId('r'), read(1)))
+        if found is None:
+            raise TargetLost('the answer did not end')
+        return found
+
+    def write_answer(self, rows: Sequence[str], signature: str) -> bytes:
+        """:returns: What the platform's adapter writes. :raises Unsendable: It writes nothing."""
+        protocol = LineProtocol()
+        recorder = Recorder()
+        protocol.transport = recorder
+        LineCaller(protocol).answer(rows, signature, SessionState.IDLE, None)
+        return recorder.written
+
     def format(self, message: CallerMessage) -> bytes:
         """:returns: The line of a message."""
         match message:
--- a/features/origin_builders.py
+++ b/features/origin_builders.py
@@ -9,6 +9,7 @@
 from fescuequay_emulator.load import read
 from fescuequay_emulator.origins import Origins
 from fescuequay_emulator.targets import Execution
+from fescuequay_emulator.wire import Stream
 from fescuequay_entry.relay.ports import Query
 
 _STATEMENT = read(1)
@@ -31,6 +32,6 @@
     """:returns: What the checker says about a statement that ran in this way."""
     wire = LineWire()
     requests = (RequestId('r1'), RequestId('-'))
-    stream = bytearray(b''.join(wire.format(Query(request, _STATEMENT)) for request in requests))
+    stream = Stream(bytearray(b''.join(wire.format(Query(request, _STATEMENT)) for request in requests)))
     sent = (_SENT, dataclasses.replace(_SENT, request=RequestId('-')))
     return Origins(sent, (_CONFIGURATION,), (stream,), wire).find_fault(_EXECUTIONS[how])
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -19,7 +19,7 @@
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
 from fescuequay_entry.relay.statement_runner import StatementRunner
-from fescuequay_platform import connections
+from fescuequay_platform import codec, connections
 from fescuequay_platform.codec import LineDecoder, Message, WireError
 
 
@@ -99,11 +99,25 @@
     def feed(self, chunk: bytes) -> Iterator[Message | WireError]:
         """:returns: The message, or the error, of each line."""
         *lines, self._rest = (self._rest + chunk).split(b'\n')
-        for line in lines:
-            if line.endswith(b'\r'):
-                yield from LineDecoder().feed(line + b'\n')
-            else:
-                yield WireError('a line does not end with CR LF')
+        return map(self._decode, lines)
+
+    def _decode(self, line: bytes) -> Message | WireError:
+        kind, _, rest = line.decode(errors='surrogateescape').removesuffix('\r').partition(' ')
+        count = codec._FIELDS_BY_KIND.get(kind)
+        if count is None or not line.endswith(b'\r') or len(line) > codec.MAX_MESSAGE_BYTES:
+            return WireError('no message')
+        return Message(kind, tuple(rest.split(' ', count - 1)) if rest else ())
+
+
+def _encode_unchecked(message: Message) -> bytes:
+    return ' '.join((message.kind, *message.fields)).encode(errors='surrogateescape') + b'\r\n'
+
+
+@contextlib.contextmanager
+def _end_messages_anywhere() -> Iterator[None]:
+    patch = mock.patch.object
+    with patch(connections, 'LineDecoder', _LineFeedDecoder), patch(Message, 'encode', _encode_unchecked):
+        yield
 
 
 @contextlib.contextmanager
@@ -157,6 +171,7 @@
             StatementRunner, '_write_once', lambda *arguments: _claim_not_run(write_once, *arguments)
         ),
         'the rule that CR LF alone ends a message': lambda: patch(connections, 'LineDecoder', _LineFeedDecoder),
+        'that rule and the check of what is written': _end_messages_anywhere,
     }[guard]()
 
 
--- a/features/steps/hidden_request_steps.py
+++ b/features/steps/hidden_request_steps.py
@@ -11,13 +11,15 @@
 from features.line_wire import LineWire
 from fescuequay_emulator import cmdline
 from fescuequay_emulator.experiments import hunted_scenario, random_scenario, with_late_deliveries
-from fescuequay_emulator.scenarios import HIDDEN_KIND, run_scenario
+from fescuequay_emulator.scenarios import HIDDEN_ANSWERS_KIND, HIDDEN_KIND, run_scenario
 
+_HIDDEN_KINDS = (HIDDEN_KIND, HIDDEN_ANSWERS_KIND)
 
-@given('the schedule of a hunt of seed {seed:d} with nothing but hidden requests')
+
+@given('the schedule of a hunt of seed {seed:d} with nothing but hidden requests and answers')
 def step_schedule(context: Any, seed: int) -> None:
     scenario = hunted_scenario(seed)
-    kept = tuple(fault for fault in scenario.faults if fault.kind == HIDDEN_KIND)
+    kept = tuple(fault for fault in scenario.faults if fault.kind in _HIDDEN_KINDS)
     context.relay_scenario = msgspec.structs.replace(scenario, faults=kept)
     context.seed = seed
 
@@ -40,16 +42,17 @@
     context.violated = {violation.promise for violation in figures.broken}
 
 
-@then('at least {count:d} requests were hidden')
-def step_hidden(context: Any, count: int) -> None:
-    assert context.figures.hidden_requests >= count, context.figures.hidden_requests
+@then('at least {requests:d} requests and {answers:d} answers were hidden')
+def step_hidden(context: Any, requests: int, answers: int) -> None:
+    counts = (context.figures.hidden_requests, context.figures.hidden_answers)
+    assert counts >= (requests, answers) and counts[1] >= answers, counts
 
 
-@then('each hides requests, and the other faults are those of schedules without them')
+@then('each hides requests and answers, and the other faults are those of schedules without them')
 def step_kept_faults(context: Any) -> None:
     for seed, faults in enumerate(context.schedules, 1):
-        *others, last = faults
-        assert last.kind == HIDDEN_KIND, last
+        *others, requests, answers = faults
+        assert (requests.kind, answers.kind) == _HIDDEN_KINDS, faults
         assert tuple(others) == with_late_deliveries(random_scenario(seed), seed).faults, seed
 
 
--- a/packages/fescuequay-emulator/fescuequay_emulator/callers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/callers.py
@@ -18,7 +18,7 @@
 )
 from fescuequay_core.relay.refusals import RefusalKind, Refused
 from fescuequay_core.types import RequestId
-from fescuequay_emulator.wire import Wire
+from fescuequay_emulator.wire import Stream, Wire
 from fescuequay_entry.relay.ports import (
     CallerConnection,
     CallerHandler,
@@ -93,8 +93,8 @@
     """
 
     def __init__(self, wire: Wire | None = None) -> None:
-        #: All bytes that the caller sent, and how they are cut into chunks.
-        self.stream = bytearray()
+        #: Bytes in both directions, and how those of the caller are cut into chunks.
+        self.stream = Stream()
         self.cut: Callable[[bytes], Iterable[bytes]] = lambda content: (content,)
         self._wire = wire
         self._input = None if wire is None else wire.open_input()
@@ -115,7 +115,7 @@
     def send_bytes(self, content: bytes) -> None:
         """Queue what the instance decodes."""
         assert self._input is not None  # noqa: S101 -- bytes need an encoding
-        self.stream += content
+        self.stream.sent += content
         for chunk in self.cut(content):
             self._inbox.extend(self._input.feed(chunk))
         self._wake()
@@ -148,6 +148,8 @@
 
     def answer(self, rows: Sequence[str], signature: str, state: SessionState, position: LogPosition | None) -> None:
         """Deliver a successful answer to the caller."""
+        if self._wire is not None and rows:
+            self.stream.received += self._wire.write_answer(rows, signature)
         self._put((None, signature, state))
 
     def refuse(self, refusal: Refused, state: SessionState, position: LogPosition | None) -> None:
@@ -186,7 +188,7 @@
     :param streams: Bytes of all connections, to which each new one is appended.
     """
 
-    def __init__(self, wire: Wire | None = None, streams: list[bytearray] | None = None) -> None:
+    def __init__(self, wire: Wire | None = None, streams: list[Stream] | None = None) -> None:
         self._wire = wire
         self._streams = streams
         self._handler: CallerHandler | None = None
--- a/packages/fescuequay-emulator/fescuequay_emulator/checker.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/checker.py
@@ -10,7 +10,7 @@
 from fescuequay_emulator.callers import SentStatement, StatementOutcome
 from fescuequay_emulator.origins import Origins
 from fescuequay_emulator.targets import Commit, Execution
-from fescuequay_emulator.wire import Wire
+from fescuequay_emulator.wire import Stream, Wire, ambiguous_answers
 
 #: Window of an organisation's limit, in seconds, and the share and number by which it may be exceeded, as promised to
 #: the sites.
@@ -102,9 +102,7 @@
 
     def __init__(self, wire: Wire | None = None) -> None:
         self._wire = wire
-        #: Bytes of each connection of a caller, and the number of messages that held a request inside.
-        self.streams: list[bytearray] = []
-        self.hidden_requests = 0
+        self.streams: list[Stream] = []
         self.sent: list[SentStatement] = []
         self.executions: list[Execution] = []
         self.changes: list[PrimaryChange] = []
@@ -135,6 +133,7 @@
             self._check_withdrawn_keys(sent_by_request),
             self._check_promotion_tokens(),
             self._check_evacuations(),
+            (Violation('mixed', 0.0, f'a caller was sent {line!r}') for line in ambiguous_answers(self.streams)),
         )
         return tuple(violation for check in checks for violation in check)
 
@@ -144,8 +143,8 @@
         for execution in self.executions:
             fault = origins.find_fault(execution)
             if fault:
-                ran = f'{execution.request} {execution.statement.text!r}, sent on by {execution.instance}'
-                yield Violation('unasked', execution.at, f'{execution.target} ran {ran}: {fault}')
+                ran = f'{execution.target} ran {execution.request} {execution.statement.text!r}'
+                yield Violation('unasked', execution.at, f'{ran}, sent on by {execution.instance}: {fault}')
                 continue
             sent = sent_by_request[execution.request]
             if execution.shape != sent.shape:
--- a/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/cmdline.py
@@ -13,7 +13,7 @@
 
 from fescuequay_emulator import experiments, scenarios
 from fescuequay_emulator.experiments import Setting
-from fescuequay_emulator.scenarios import Figures
+from fescuequay_emulator.figures import Figures
 from fescuequay_emulator.wire import Wire
 from fescuequay_entry import logs
 
@@ -170,11 +170,11 @@
 def hunt(days: int, first: int, wire: Wire | None, *, drills: bool) -> None:
     """Run random schedules of faults; shrink and print those that violate a guarantee."""
     failing_count = 0
-    hidden_counts: list[int] = []
+    runs: list[Figures] = []
     with click.progressbar(length=days, file=sys.stderr) as bar:
 
         def on_scenario(_seed: int, figures: Figures) -> None:
-            hidden_counts.append(figures.hidden_requests)
+            runs.append(figures)
             bar.update(1)
 
         for failing in experiments.hunt(range(first, first + days), on_scenario, with_drills=drills, wire=wire):
@@ -183,8 +183,10 @@
             click.echo(f'\nseed {failing.seed}: {msgspec.json.encode(faults).decode()}')
             _print_figures(failing.figures, as_json=False)
     click.echo(f'{days} schedules, {failing_count} with a broken promise')
+    hidden_counts = [figures.hidden_requests for figures in runs]
     click.echo(
-        f'requests inside fields of other messages: {sum(hidden_counts)}, none in {hidden_counts.count(0)} schedules'
+        f'requests inside fields of other messages: {sum(hidden_counts)}, none in {hidden_counts.count(0)} schedules; '
+        f'answers inside rows: {sum(figures.hidden_answers for figures in runs)}'
         + ('' if wire is not None else ' (messages have no encoding without --wire)')
     )
     sys.exit(1 if failing_count else 0)
--- a/packages/fescuequay-emulator/fescuequay_emulator/connections.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/connections.py
@@ -184,6 +184,8 @@
             await target.network.transmit(target.name, self._caller)
         except ConnectionRefusedError as error:
             raise TargetLost(str(error)) from error
+        if self._wire is not None and outcome.rows:
+            outcome = self._wire.read_answer(outcome)
         self.position = outcome.position
         return outcome
 
@@ -226,7 +228,8 @@
         self._apply_effects(request, statement, transaction, is_write=is_write)
         if target.loses_answer():
             await asyncio.get_running_loop().create_future()
-        return self._success(f'{target.name}:{request}')
+        rows = target.next_rows() if statement.kind is StatementKind.READ else ()
+        return self._success(f'{target.name}:{request}', rows)
 
     def _apply_effects(self, request: RequestId, statement: Statement, transaction: int, *, is_write: bool) -> None:
         if statement.kind is StatementKind.COMMIT:
@@ -262,9 +265,9 @@
         visible = self.target.visible_commits()
         return bool(visible) and visible[-1].position >= position or position.number == 0
 
-    def _success(self, signature: str = '-') -> Outcome:
+    def _success(self, signature: str = '-', rows: tuple[str, ...] = ()) -> Outcome:
         state = SessionState.IN_TRANSACTION if self.transaction else SessionState.IDLE
-        return Outcome((), signature, None, state, self.target.position())
+        return Outcome(rows, signature, None, state, self.target.position())
 
     def _failure(self, reason: Reason) -> Outcome:
         state = SessionState.FAILED if self.transaction else SessionState.IDLE
--- a/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/experiments.py
@@ -11,16 +11,17 @@
 
 import msgspec
 
+from fescuequay_emulator.figures import Figures
 from fescuequay_emulator.late_delivery import HoldEnd
 from fescuequay_emulator.scenarios import (
     DRILL_KIND,
     EVACUATION_KIND,
     FAULT_KINDS,
+    HIDDEN_ANSWERS_KIND,
     HIDDEN_KIND,
     HOLD_KIND,
     TRANSACTIONS_KIND,
     Fault,
-    Figures,
     Scenario,
     run_scenario,
 )
@@ -213,18 +214,26 @@
 
 
 def with_hidden_requests(scenario: Scenario, seed: int) -> Scenario:
-    """Add callers whose messages hold a request inside a field, on some seeds in a deployment with gateways.
+    """Add callers and targets that hide requests and answers inside fields, on some seeds with gateways.
 
     :param scenario: The scenario.
-    :param seed: Seed of the fault.
-    :returns: The scenario with that fault.
+    :param seed: Seed of the faults.
+    :returns: The scenario with both faults.
     """
     rng = random.Random(f'hidden {seed}')
     hidden = Fault(at=round(rng.uniform(0, 8), 2), kind=HIDDEN_KIND, for_s=round(rng.uniform(2, 5), 2))
     plan = scenario.plan
-    if rng.random() < _GATEWAY_SHARE:
+    is_with_gateways = rng.random() < _GATEWAY_SHARE
+    answers = Fault(
+        at=round(rng.uniform(0, 8), 2),
+        kind=HIDDEN_ANSWERS_KIND,
+        for_s=round(rng.uniform(2, 4), 2),
+        on=rng.choice(('0', '1')),
+        share=round(rng.uniform(0.1, 0.3), 2),
+    )
+    if is_with_gateways:
         plan = dataclasses.replace(plan, cores=1.0, max_connections=_GATEWAY_CONNECTIONS)
-    return msgspec.structs.replace(scenario, plan=plan, faults=(*scenario.faults, hidden))
+    return msgspec.structs.replace(scenario, plan=plan, faults=(*scenario.faults, hidden, answers))
 
 
 def with_random_drills(scenario: Scenario, seed: int) -> Scenario:
--- a/packages/fescuequay-emulator/fescuequay_emulator/origins.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/origins.py
@@ -4,9 +4,10 @@
 
 from fescuequay_core.relay.model import Configuration
 from fescuequay_core.types import RequestId
+
 from fescuequay_emulator.callers import SentStatement
 from fescuequay_emulator.targets import Execution
-from fescuequay_emulator.wire import RESERVED_IDS, Wire, split_as_written
+from fescuequay_emulator.wire import RESERVED_IDS, Stream, Wire, split_as_written
 
 
 class Origins:
@@ -22,7 +23,7 @@
         self,
         sent: Iterable[SentStatement],
         configurations: Sequence[Configuration],
-        streams: Iterable[bytearray],
+        streams: Iterable[Stream],
         wire: Wire | None,
     ) -> None:
         self._sent_by_request = {one.request: one for one in sent}
@@ -44,9 +45,9 @@
         return ''
 
 
-def _requests(wire: Wire, streams: Iterable[bytearray]) -> Iterator[tuple[RequestId, str]]:
-    for content in streams:
-        for line in split_as_written(bytes(content)):
+def _requests(wire: Wire, streams: Iterable[Stream]) -> Iterator[tuple[RequestId, str]]:
+    for stream in streams:
+        for line in split_as_written(bytes(stream.sent)):
             request = wire.parse_request(line)
             if request is not None and request[0] not in RESERVED_IDS:
                 yield request
--- a/packages/fescuequay-emulator/fescuequay_emulator/rude_callers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/rude_callers.py
@@ -30,7 +30,7 @@
 _MAX_CUTS: Final = 4
 
 #: What some decoder may take for the end of a message.
-_SEPARATORS: Final = ('\n', '\n\n', '\r', '\r\r', '\n\r', '\0')
+SEPARATORS: Final = ('\n', '\n\n', '\r', '\r\r', '\n\r', '\0')
 
 #: Statements with a hidden request at the end of a field, by the name of the field.
 _STATEMENTS_BY_FIELD: Final[dict[str, Callable[[str], Statement]]] = {
@@ -100,12 +100,12 @@
         if rng.random() < _TRANSACTION_SHARE:
             await session.execute(BEGIN)
         field = rng.choice((*_STATEMENTS_BY_FIELD, *_MESSAGES))
-        self._world.checker.hidden_requests += 1
+        self._world.hidden_requests += 1
         if field in _MESSAGES:
             await session.exchange(self._message(field))
             await asyncio.sleep(_QUIET_S)
             return
-        await session.execute(_STATEMENTS_BY_FIELD[field](rng.choice(_SEPARATORS) + self._request()))
+        await session.execute(_STATEMENTS_BY_FIELD[field](rng.choice(SEPARATORS) + self._request()))
         await asyncio.sleep(_QUIET_S)
         if session.is_open and not session.has_unread():
             # The instance repeats values and shapes on a connection when a statement needs them.
@@ -118,7 +118,7 @@
         return line.removesuffix(MESSAGE_END).decode()
 
     def _message(self, name: str) -> bytes:
-        hidden = self._rng.choice(_SEPARATORS) + self._request()
+        hidden = self._rng.choice(SEPARATORS) + self._request()
         long = 'y' * (MAX_MESSAGE_BYTES + self._rng.randrange(100_000))
         request = RequestId(f'r{self._rng.getrandbits(48):012x}')
         match name:
--- a/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/scenarios.py
@@ -1,9 +1,7 @@
 """Scenarios in JSON with comments: a deployment, a load and a schedule of faults; and the figures of a run."""
 
 import asyncio
-import dataclasses
 import pathlib
-import statistics
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -11,13 +9,14 @@
 
 from fescuequay_core import jsonc
 from fescuequay_core.types import Role
-from fescuequay_emulator.checker import Violation
+from fescuequay_emulator.figures import Figures, collect_figures
 from fescuequay_emulator.late_delivery import HoldEnd, hold_next_promotion
 from fescuequay_emulator.load import Load
 from fescuequay_emulator.network import CutMode
 from fescuequay_emulator.open_transactions import TransactionsOnReplacedPrimary
 from fescuequay_emulator.peers import PROMOTER_NODE
 from fescuequay_emulator.rude_callers import hide_requests
+from fescuequay_emulator.rude_targets import hide_answers
 from fescuequay_emulator.table import TABLE_NODE, StoreFaults
 from fescuequay_emulator.wire import Wire
 from fescuequay_emulator.world import DATA_CENTRES, Plan, World
@@ -74,38 +73,6 @@
     faults: tuple[Fault, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Figures:
-    """Figures of a run.
-
-    :param broken: Violated guarantees.
-    :param asked: Number of operations.
-    :param served: Number of operations that were served.
-    :param replica_share: Share of the reads outside the primary routes that replicas executed.
-    :param write_gap_s: Longest time between two served writes.
-    :param median_s: Median time of a served operation.
-    :param refused: Number of refused attempts by reason.
-    :param store_calls: Calls to the table since the start of the load.
-    :param seconds: Time over which calls and messages were counted.
-    :param control_bytes: Bytes between instances by kind of message, if ``Plan.counts_bytes``.
-    :param control_messages: Messages between instances by kind, if ``Plan.counts_bytes``.
-    :param hidden_requests: Number of messages of callers that held a request inside.
-    """
-
-    broken: tuple[Violation, ...]
-    asked: int
-    served: int
-    replica_share: float
-    write_gap_s: float
-    median_s: float
-    refused: dict[str, int]
-    store_calls: int
-    seconds: float
-    control_bytes: dict[str, int]
-    control_messages: dict[str, int]
-    hidden_requests: int
-
-
 def load(path: pathlib.Path) -> Scenario:
     """:returns: The scenario in a file. :raises ValueError: The file is not a valid scenario; the message names it."""
     plain, _ = jsonc.decode_text(path.read_bytes())
@@ -136,40 +103,7 @@
         await asyncio.sleep(_SETTLE_S)
 
     world.run(run_load_and_faults)
-    return _collect_figures(world, callers)
-
-
-def _collect_figures(world: World, callers: Load) -> Figures:
-    tallies = callers.tallies.values()
-    latencies = [took for tally in tallies for took in tally.latencies_s]
-    times = sorted(callers.write_times)
-    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
-    primary_databases = {f'primary-{number}' for number in range(world.plan.services)}
-    databases = {sent.request: sent.database for sent in world.checker.sent}
-    reads = [
-        execution
-        for execution in world.checker.executions
-        if databases.get(execution.request) not in primary_databases
-        and execution.statement.text.startswith(('READ', 'EXECUTE r'))
-    ]
-    refused: dict[str, int] = {}
-    for tally in tallies:
-        for reason, count in tally.refused.items():
-            refused[reason] = refused.get(reason, 0) + count
-    return Figures(
-        (*world.checker.violations(dict(world.logs_by_service())), *world.violations.values()),
-        sum(tally.asked for tally in tallies),
-        sum(tally.served for tally in tallies),
-        sum(not execution.is_primary for execution in reads) / max(len(reads), 1),
-        max(gaps, default=0.0),
-        statistics.median(latencies) if latencies else 0.0,
-        refused,
-        world.store.calls,
-        world.counted_duration_s(),
-        dict(world.control_bytes),
-        dict(world.control_messages),
-        world.checker.hidden_requests,
-    )
+    return collect_figures(world, callers)
 
 
 async def _apply(world: World, fault: Fault, began_at: float) -> None:
@@ -308,6 +242,10 @@
     await hide_requests(world, f'rude {fault}', fault.for_s)
 
 
+async def _hide_answers(world: World, fault: Fault) -> None:
+    await hide_answers(world, f's{fault.on}', fault.share, f'rude {fault}', fault.for_s)
+
+
 async def _compact(world: World, _: Fault) -> None:
     world.store.oldest_retained_version = world.store.version
 
@@ -380,13 +318,14 @@
 
 #: Kinds that schedules get in addition, so that seeds keep their schedules: the table comes back from a copy, operators
 #: evacuate a data centre, connections to the table go silent, a promotion's request is held up, transactions stay
-#: open on a primary that is replaced, and callers hide requests inside fields.
+#: open on a primary that is replaced, and callers and targets hide requests and answers inside fields.
 DRILL_KIND: Final = 'restore'
 EVACUATION_KIND: Final = 'evacuate'
 SILENCE_KIND: Final = 'silence'
 HOLD_KIND: Final = 'hold_promotion'
 TRANSACTIONS_KIND: Final = 'replace_under_transactions'
 HIDDEN_KIND: Final = 'hide_requests'
+HIDDEN_ANSWERS_KIND: Final = 'hide_answers'
 _ACTIONS_BY_KIND.update(
     {
         DRILL_KIND: _restore,
@@ -395,5 +334,6 @@
         HOLD_KIND: _hold_promotion,
         TRANSACTIONS_KIND: _replace_under_transactions,
         HIDDEN_KIND: _hide_requests,
+        HIDDEN_ANSWERS_KIND: _hide_answers,
     }
 )
--- a/packages/fescuequay-emulator/fescuequay_emulator/targets.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/targets.py
@@ -105,6 +105,8 @@
         self.is_silent = False
         self.lost_answer_share = 0.0
         self.failed_statement_share = 0.0
+        #: Rows of the next answer to a read; none by default.
+        self.next_rows: Callable[[], tuple[str, ...]] = tuple
         self.max_connections = 60
         #: Counts of connections opened, and of those rejected because ``max_connections`` was reached.
         self.opened_connections = 0
--- a/packages/fescuequay-emulator/fescuequay_emulator/wire.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/wire.py
@@ -1,9 +1,10 @@
 """The byte boundary of an instance: what it decodes and writes, and what others read in the same bytes."""
 
 import abc
+import dataclasses
 import itertools
 import re
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator, Sequence
 from typing import Any, Final, TypeAlias
 
 from fescuequay_core.types import RequestId
@@ -25,6 +26,18 @@
 _CARELESS_END: Final = re.compile(rb'\r\n|[\r\n\0]')
 
 
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """Bytes of a caller's connection.
+
+    :param sent: All that the caller sent.
+    :param received: The answers with rows.
+    """
+
+    sent: bytearray = dataclasses.field(default_factory=bytearray)
+    received: bytearray = dataclasses.field(default_factory=bytearray)
+
+
 class CallerInput(abc.ABC):
     """Decodes what one caller sends, as an instance does."""
 
@@ -44,6 +57,19 @@
     def write(self, call: TargetCall) -> bytes | Outcome:
         """:returns: The bytes that an instance writes for a call; the outcome if it writes nothing."""
 
+    @abc.abstractmethod
+    def read_answer(self, answer: Outcome) -> Outcome:
+        """Let an instance read an answer that a target writes, whatever its rows hold.
+
+        :param answer: The answer of the target.
+        :returns: The answer as the instance reads it.
+        :raises TargetLost: The instance cannot read it.
+        """
+
+    @abc.abstractmethod
+    def write_answer(self, rows: Sequence[str], signature: str) -> bytes:
+        """:returns: The bytes that an instance writes to a caller. :raises Unsendable: It writes nothing."""
+
     @abc.abstractmethod
     def format(self, message: CallerMessage) -> bytes:
         """:returns: The bytes that a caller writes for a message, whatever its fields hold."""
@@ -68,6 +94,14 @@
     return filter(None, _CARELESS_END.split(content))
 
 
+def ambiguous_answers(streams: Iterable[Stream]) -> Iterator[bytes]:
+    """:returns: Lines of answers to callers of which a careless caller reads something else."""
+    for stream in streams:
+        for line in split_as_written(bytes(stream.received)):
+            if tuple(split_carelessly(line)) != (line,):
+                yield line
+
+
 def first_careless_line(text: str) -> str:
     """:returns: The part of a text that a careless target takes for the whole of it."""
     return _CARELESS_END.split(text.encode('utf-8', 'surrogateescape'))[0].decode('utf-8', 'surrogateescape')
--- a/packages/fescuequay-emulator/fescuequay_emulator/world.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/world.py
@@ -144,6 +144,9 @@
         self.data_centres_by_instance: dict[str, str] = {}
         self.control_bytes: collections.Counter[str] = collections.Counter()
         self.control_messages: collections.Counter[str] = collections.Counter()
+        #: Numbers of messages that held a request inside, and of answers that held another one.
+        self.hidden_requests = 0
+        self.hidden_answers = 0
         self._counting_since = 0.0
         self.violations: dict[str, Violation] = {}
         self._targets_by_address: dict[str, ModelTarget] = {}
