--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -19,6 +19,8 @@
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
 from fescuequay_entry.relay.statement_runner import StatementRunner
+from fescuequay_platform import codec, connections
+from fescuequay_platform.codec import LineDecoder, Message, WireError
 
 
 #: Limit of a promotion that is not bound by its lease, in seconds.
@@ -87,6 +89,37 @@
         raise
 
 
+class _LineFeedDecoder(LineDecoder):
+    """Takes a line feed for the end of a message, and what follows for the next one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> Iterator[Message | WireError]:
+        """:returns: The message, or the error, of each line."""
+        *lines, self._rest = (self._rest + chunk).split(b'\n')
+        return map(self._decode, lines)
+
+    def _decode(self, line: bytes) -> Message | WireError:
+        kind, _, rest = line.decode(errors='surrogateescape').removesuffix('\r').partition(' ')
+        count = codec._FIELDS_BY_KIND.get(kind)
+        if count is None or not line.endswith(b'\r') or len(line) > codec.MAX_MESSAGE_BYTES:
+            return WireError('no message')
+        return Message(kind, tuple(rest.split(' ', count - 1)) if rest else ())
+
+
+def _encode_unchecked(message: Message) -> bytes:
+    return ' '.join((message.kind, *message.fields)).encode(errors='surrogateescape') + b'\r\n'
+
+
+@contextlib.contextmanager
+def _end_messages_anywhere() -> Iterator[None]:
+    patch = mock.patch.object
+    with patch(connections, 'LineDecoder', _LineFeedDecoder), patch(Message, 'encode', _encode_unchecked):
+        yield
+
+
 @contextlib.contextmanager
 def _ignore_terms() -> Iterator[None]:
     needs_probe = Coordinator._needs_probe
@@ -137,6 +170,8 @@
         'the verdict on writes that were sent': lambda: patch(
             StatementRunner, '_write_once', lambda *arguments: _claim_not_run(write_once, *arguments)
         ),
+        'the rule that CR LF alone ends a message': lambda: patch(connections, 'LineDecoder', _LineFeedDecoder),
+        'that rule and the check of what is written': _end_messages_anywhere,
     }[guard]()
 
 
