Reproduce what unreadable, surplus and unsendable messages do to others than their statement

An id of 1 MiB makes a log line of 1048833 bytes. DONE without a signature doesn't end an answer: rows and a second DONE behind it are passed on. Within a transaction, the surplus of one answer is taken for the answer of the next statement: only a connection in the pool is checked. A commit whose answer can't be passed on gives its connection back twice: two sessions ran their transactions on the same connection in a trial in which the refusal was injected.

--- /dev/null
+++ b/features/odd_answers.feature
@@ -0,0 +1,35 @@
+Feature: What can't be read or sent harms nobody but the statement that it belongs to
+
+  @real @known-red
+  Scenario: A read whose row can't be read does not run over and over within its time limit
+    Given a real instance whose database holds a row that can't be read
+    When a caller reads that row
+    Then the caller is refused, and the database ran it at most 20 times on at most 20 new connections
+
+  @real @known-red
+  Scenario: A prepared statement that can't be sent costs no connection to the target
+    Given a real instance whose database holds a row that can't be read
+    When a caller executes 20 times a prepared statement that is too long to be prepared at a target
+    Then each is refused as malformed, and the database accepted at most 3 connections for them
+
+  @real @known-red
+  Scenario: A request id as long as a message does not make the log line as long
+    Given a real instance whose database holds a row that can't be read
+    When a caller sends a statement that is refused under an id of 1 MiB
+    Then no log line is longer than 4096 bytes
+
+  @known-red
+  Scenario: A second DONE is not taken for the answer after one without a signature
+    When a target answers DONE without a signature and then DONE with one
+    Then the connection was lost
+
+  @known-red
+  Scenario: Surplus messages of a target are not taken for the answer of the next statement of a transaction
+    When a target within a transaction sends another answer behind that of a statement, and the next statement is sent
+    Then the next statement doesn't get the surplus as its answer
+
+  @known-red
+  Scenario: A commit whose answer can't be passed on gives its connection back once
+    Given a session of an organisation with 3 tokens in stock
+    When its transaction is committed and the answer can't be passed on
+    Then the connection was given back once
--- /dev/null
+++ b/features/odd_answers.py
@@ -0,0 +1,124 @@
+"""Builders of targets that answer what can't be read, and of what callers send to make an instance stumble."""
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any, Final
+from unittest import mock
+
+from features.relay_processes import Deployment, PlatformStandIn
+from fescuequay_core.relay.model import SessionState, Statement, StatementKind
+from fescuequay_core.types import RequestId
+from fescuequay_emulator.callers import ModelCaller
+from fescuequay_entry.relay.metrics import RelayMetrics
+from fescuequay_entry.relay.operation import Placement
+from fescuequay_entry.relay.ports import Opening, Outcome, Query, Unsendable
+from fescuequay_entry.relay.session import Session
+
+#: Maximum length of a message without its end, in bytes.
+MAX_MESSAGE_BYTES: Final = 1_048_576
+
+#: Item whose row holds a byte that no message may hold.
+UNREADABLE: Final = 'unreadable'
+
+_COMMIT: Final = Statement(StatementKind.COMMIT, 'COMMIT')
+
+
+class OddStandIn(PlatformStandIn):
+    """Stands in for a platform with a database that holds one row that can't be read."""
+
+    def count_runs(self, text: str) -> int:
+        """:returns: How often the database ran a statement."""
+        return sum(ran == text for _, ran in self.ran)
+
+    def count_connections(self) -> int:
+        """:returns: How many connections the database has accepted."""
+        return self._connection_count
+
+    def _replies_to(self, line: str, connection: int) -> list[str]:
+        replies = super()._replies_to(line, connection)
+        return ['ROW a\nb', *replies[1:]] if line.endswith(f' READ {UNREADABLE}') else replies
+
+
+class OddDeployment(Deployment):
+    """One real instance process whose database is odd."""
+
+    def __init__(self) -> None:
+        self.database = OddStandIn()
+        super().__init__(self.database)
+
+    def ask_in_turn(self, lines: Iterator[str]) -> list[list[str]]:
+        """:returns: Answers of one session to these lines, each of which is refused or answered locally."""
+        with self._open('START db secret') as caller:
+            self._await_primary(caller)
+            self._await_reuse(caller)
+            return [self._ask(caller, line, 2) for line in lines]
+
+
+def longest_shape(executions: int) -> Iterator[str]:
+    """:returns: Lines that prepare the longest shape that a message can hold, and execute it that often."""
+    beginning = 'QUERY p PREPARE p WRITE '
+    yield beginning + 'q' * (MAX_MESSAGE_BYTES - len(beginning))
+    for number in range(executions):
+        yield f'QUERY e{number} EXECUTE p x y'
+
+
+class UnsendableCaller(ModelCaller):
+    """Caller to whom the answer of a commit can't be passed on."""
+
+    def answer(self, rows: Any, signature: str, state: Any, position: Any) -> None:
+        """Pass on anything but a commit. :raises Unsendable: It is the answer of a commit."""
+        if signature == 'commit':
+            raise Unsendable('a NUL in a field of DONE')
+        super().answer(rows, signature, state, position)
+
+
+class CountingRunner:
+    """Runs each statement with success, and counts how often its only connection was given back."""
+
+    def __init__(self) -> None:
+        self.given_back = 0
+        pooled = mock.MagicMock()
+        begun = Outcome((), '-', None, SessionState.IN_TRANSACTION, None)
+        pooled.connection.begin = mock.AsyncMock(return_value=begun)
+        self._placement = Placement(pooled, None)
+
+    async def place(self, *_: Any, **_options: Any) -> Any:
+        """:returns: The connection."""
+        return self._placement
+
+    async def execute(self, *arguments: Any) -> Outcome:
+        """:returns: A success."""
+        is_commit = arguments[3].kind is StatementKind.COMMIT
+        state = SessionState.IDLE if is_commit else SessionState.IN_TRANSACTION
+        return Outcome((), 'commit' if is_commit else 'sig', None, state, None)
+
+    def has_valid_permit(self, _placement: Any) -> bool:
+        """:returns: That the primary still leads."""
+        return True
+
+    def release(self, _placement: Any, *, is_clean: bool) -> None:
+        """Count it."""
+        self.given_back += 1
+
+    def roll_back_and_release(self, _placement: Any) -> None:
+        """Count it."""
+        self.given_back += 1
+
+
+async def commit_unsendably(board: Any, runner: Any, opening: Opening) -> None:
+    """Commit a transaction in a session whose caller can't be told."""
+    caller = UnsendableCaller()
+    serving = asyncio.ensure_future(Session(board, runner, RelayMetrics(), caller).run())
+    caller.send(opening)
+    await caller.next_answer()
+    for number, statement in enumerate(
+        (
+            Statement(StatementKind.BEGIN, 'BEGIN', is_write=True),
+            Statement(StatementKind.WRITE, 'WRITE x 1', is_write=True),
+            _COMMIT,
+        )
+    ):
+        caller.send(Query(RequestId(f'q{number}'), statement))
+        await caller.next_answer()
+    caller.disconnect()
+    await serving
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -204,8 +204,8 @@
 class Deployment:
     """One real instance process and its stand-ins."""
 
-    def __init__(self) -> None:
-        self._standin = PlatformStandIn()
+    def __init__(self, standin: PlatformStandIn | None = None) -> None:
+        self._standin = standin or PlatformStandIn()
         self._folder = tempfile.TemporaryDirectory()
         self._ports = {name: reserve_port() for name in ('callers', 'readiness', 'peers')}
         self._process: subprocess.Popen[bytes] | None = None
