Reproduce that long session values of one caller end the stream between instances

Eight values of 1 MiB, each of which a caller may set, make a frame that the gateway can't read: the length is checked where a frame is decoded, not where it is encoded.

--- a/features/steps/odd_answer_steps.py
+++ b/features/steps/odd_answer_steps.py
@@ -1,15 +1,18 @@
 """Steps that test what becomes of answers that can't be read and of statements and answers that can't be sent."""
 
 import asyncio
+import contextlib
 import time
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 
-from features import line_ends, odd_answers
+from features import gateway_builders, line_ends, odd_answers
 from features.steps import token_charge_steps
 from fescuequay_core.relay.model import Credential, Statement, StatementKind
 from fescuequay_core.types import RequestId
+from fescuequay_entry.relay.hop_frames import FrameDecoder, FrameError, Ping, encode
 from fescuequay_entry.relay.ports import Opening, Outcome, TargetLost
 from fescuequay_platform.connections import LineTarget
 
@@ -121,3 +124,19 @@
 @then('the connection was given back once')
 def step_once(context: Any) -> None:
     assert context.runner.given_back == 1, context.runner.given_back
+
+
+@when('a statement with {count:d} session values of 1 MiB each is sent to a gateway, and then another message')
+def step_values(context: Any, count: int) -> None:
+    values = {f'v{number}': 'z' * odd_answers.MAX_MESSAGE_BYTES for number in range(count)}
+    sent = b''
+    # A statement that the other end could not read may be refused where it is encoded.
+    with contextlib.suppress(FrameError):
+        sent = encode(msgspec.structs.replace(gateway_builders.ask(), values=values))
+    context.sent = sent + encode(Ping())
+
+
+@then('the gateway reads the message behind it')
+def step_behind(context: Any) -> None:
+    frames = list(FrameDecoder().feed(context.sent))
+    assert isinstance(frames[-1], Ping), frames
