--- a/features/odd_answers.feature
+++ b/features/odd_answers.feature
@@ -1,6 +1,6 @@
 Feature: What can't be read or sent harms nobody but the statement that it belongs to
 
-  @real @known-red
+  @real
   Scenario Outline: A statement does not run over and over within its time limit when the answer to <what> can't be read
     Given a real instance whose database answers some statements with what can't be read
     When a caller sends <lines>
--- a/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/statement_runner.py
@@ -195,13 +195,15 @@
         :param placement: Connection that was lost.
         :param error: What happened.
         :param tried: Targets to avoid; this one is added, unless only the gateway before it failed.
-        :raises Refused: A gateway refused it, and its aim has passed.
+        :raises Refused: A gateway refused it, and its aim has passed; or no other target may answer readably.
         """
         target = placement.pooled.target.target
         if isinstance(error, GatewayRefused):
             await self._pause_after_refusal(operation, target, error.refusal, tried)
         elif error.concerns_target:
             tried.add(target)
+        if isinstance(error, UnreadableAnswer):
+            self._require_another(operation, error, tried)
 
     async def _roll_back(self, placement: Placement) -> None:
         is_clean = False
@@ -219,6 +221,9 @@
             async with asyncio.timeout(_SILENCE_TIMEOUT_S):
                 await placement.pooled.apply_session_values(operation.values)
                 return await placement.pooled.prepared_name(shape[0], is_write=shape[1]) if shape is not None else None
+        except UnreadableAnswer as error:
+            self._record_lost(placement, began_at, error, RequestId('-'))
+            raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
         except (TimeoutError, TargetLost) as error:
             self._record_lost(placement, began_at, error, RequestId('-'))
             raise NotSent(str(error) or 'the target did not answer') from error
@@ -433,9 +438,12 @@
             self._record_lost(placement, self._board.clock(), error, RequestId('-'))
             self.release(placement, is_clean=False)
             tried.add(target.target)
+            if isinstance(error, UnreadableAnswer):
+                self._require_another(operation, error, tried)
             return None
         except Refused:
-            self.release(placement, is_clean=False)
+            # Nothing was sent.
+            self.release(placement, is_clean=True)
             raise
         if not self.has_valid_permit(placement) or self._board.is_closed(target):
             self.release(placement, is_clean=True)
@@ -459,6 +467,11 @@
         if has_room:
             await asyncio.sleep(BUSY_TARGET_PAUSE_S)
 
+    def _require_another(self, operation: Operation, error: UnreadableAnswer, tried: set[TargetId]) -> None:
+        """:raises Refused: No other target may run it; this one would give the same answer again at once."""
+        if operation.is_bound or self._are_all_tried(operation, tried):
+            raise Refused(refusals.TARGET_BUSY, str(error), READ_RETRY_AFTER_S) from error
+
     def _acquire_until(self, operation: Operation, target: TargetDescription) -> Instant:
         """:returns: When an operation must have got a connection; one that gets it later is refused."""
         aim_at = operation.began_at + operation.route.aim_s
