--- a/features/odd_answers.feature
+++ b/features/odd_answers.feature
@@ -29,7 +29,6 @@
     When a target answers DONE without a signature and then DONE with one
     Then the connection was lost
 
-  @known-red
   Scenario: Surplus messages of a target are not taken for the answer of the next statement of a transaction
     When a target within a transaction sends another answer behind that of a statement, and the next statement is sent
     Then the next statement doesn't get the surplus as its answer
