Bound what waits on the connections of callers, in both directions

Cause: all messages of a chunk were decoded and answered without giving way, and answers were written whatever the caller had read.

Bytes in: a message is decoded when it is read; reading from the connection pauses while a whole message waits and more than 64 KiB are unread; a statement that is answered without a target gives way to other sessions; after 16 undecodable messages in a row the session ends and says why. What a lost connection had sent is not run any more: nobody would get the answer. Bytes out: a session takes its next statement when the answer before has been read, but for a rest; after 10 s, or when the kernel gives the connection up, it ends, and answer_unread says who, how much and for how long. Together, callers may hold a quarter of the memory (setting capacity.memory_mb); beyond it the largest sessions of the organisation that holds most are reset. A reset caller was told nothing, so nothing untrue.

Evidence: floods of 8 x 1 MiB of empty lines, unknown kinds and session values: others are served within 3 s, at most 120 MB; 30 callers who read nothing: the same, and each is named in the log.

--- /dev/null
+++ b/features/backlog.feature
@@ -0,0 +1,37 @@
+Feature: What one peer sends, or doesn't read, costs the others nothing
+  The load: callers that send many messages at once, useless or not, and callers that read large answers slowly.
+
+  Scenario: However many messages arrive at once, one is decoded at a time
+    When 100000 short messages arrive at once on a connection
+    Then 1 message is decoded until it is read, and reading from the connection is paused
+
+  Scenario Outline: Sessions give way when all of them hold more than the memory for it
+    When sessions hold <held> and may hold 100 together
+    Then <reset> are reset
+
+    Examples:
+      | held                                  | reset          |
+      | a1 40, a2 30, b1 30                   | none           |
+      | a1 40, a2 30, b1 50                   | a1             |
+      | a1 40, a2 45, a3 45, b1 60            | a2 a3          |
+      | a1 90, b1 30, b2 30, b3 30, b4 30     | b4 a1          |
+
+  @real
+  Scenario Outline: Other sessions are served while callers flood an instance with <what>
+    Given a real instance whose target takes LF, CR and NUL for the end of a line
+    When 8 callers send 1 MiB of <what> at once
+    Then others are served within 3 s each, and the instance uses at most 120 MB
+    And each flood of undecodable messages has logged at most 20 lines
+
+    Examples:
+      | what                 |
+      | empty lines          |
+      | unknown kinds        |
+      | session values       |
+
+  @real
+  Scenario: Answers that callers do not read take a bounded part of the memory, and their sessions end
+    Given a real instance whose target takes LF, CR and NUL for the end of a line
+    When 30 callers ask for an answer of 250000 bytes 40 times each and read nothing
+    Then others are served within 3 s each, and the instance uses at most 120 MB
+    And each of these sessions ends, and the log says which, how much it left unread and for how long
--- a/features/line_ends.py
+++ b/features/line_ends.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.sent = b''
+        self.is_paused = False
         self._is_closing = False
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -49,11 +50,20 @@
         """Close it."""
         self._is_closing = True
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Do nothing: everything is sent at once."""
+
+    def get_write_buffer_size(self) -> int:
+        """:returns: Zero."""
+        return 0
+
     def pause_reading(self) -> None:
-        """Do nothing: whoever feeds the protocol decides."""
+        """Note it; whoever feeds the protocol decides."""
+        self.is_paused = True
 
     def resume_reading(self) -> None:
-        """Do nothing: whoever feeds the protocol decides."""
+        """Note it; whoever feeds the protocol decides."""
+        self.is_paused = False
 
 
 def connect() -> tuple[LineProtocol, MemoryTransport]:
--- a/features/line_wire.py
+++ b/features/line_wire.py
@@ -78,8 +78,11 @@
         protocol = LineProtocol()
         state, position = statements.format_state(answer.state), statements.format_position(answer.position)
         lines = (*(f'ROW {row}' for row in answer.rows), f'DONE {answer.signature}', f'READY {state} {position}')
+        asking = LineTarget(protocol).execute(RequestId('r'), read(1))
+        # What arrives before the statement is sent is no answer to it.
+        asking.send(None)
         protocol.data_received(b''.join(line.encode() + MESSAGE_END for line in lines))
-        found = _run_to_first_wait(LineTarget(protocol).execute(RequestId('r'), read(1)))
+        found = _run_to_first_wait(asking)
         if found is None:
             raise TargetLost('the answer did not end')
         return found
--- a/features/odd_answers.py
+++ b/features/odd_answers.py
@@ -13,6 +13,7 @@
 from fescuequay_entry.relay.operation import Placement
 from fescuequay_entry.relay.ports import Opening, Outcome, Query, Unsendable
 from fescuequay_entry.relay.session import Session
+from fescuequay_entry.relay.session_buffers import SessionBuffers
 
 #: Maximum length of a message without its end, in bytes.
 MAX_MESSAGE_BYTES: Final = 1_048_576
@@ -111,7 +112,7 @@
 async def commit_unsendably(board: Any, runner: Any, opening: Opening) -> None:
     """Commit a transaction in a session whose caller can't be told."""
     caller = UnsendableCaller()
-    serving = asyncio.ensure_future(Session(board, runner, RelayMetrics(), caller).run())
+    serving = asyncio.ensure_future(Session(board, runner, RelayMetrics(), SessionBuffers(None), caller).run())
     caller.send(opening)
     await caller.next_answer()
     for number, statement in enumerate(
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -95,11 +95,16 @@
     def __init__(self) -> None:
         super().__init__()
         self._rest = b''
+        self._lines: list[bytes] = []
 
-    def feed(self, chunk: bytes) -> Iterator[Message | WireError]:
-        """:returns: The message, or the error, of each line."""
+    def append(self, chunk: bytes) -> None:
+        """Add received bytes."""
         *lines, self._rest = (self._rest + chunk).split(b'\n')
-        return map(self._decode, lines)
+        self._lines += lines
+
+    def take(self) -> Message | WireError | None:
+        """:returns: The message, or the error, of the next line."""
+        return self._decode(self._lines.pop(0)) if self._lines else None
 
     def _decode(self, line: bytes) -> Message | WireError:
         kind, _, rest = line.decode(errors='surrogateescape').removesuffix('\r').partition(' ')
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -27,6 +27,7 @@
 _TIMEOUT_S = 15.0
 
 _MAX_MESSAGE_BYTES = 1_048_576
+_KB_PER_MB = 1024
 
 #: What a careless target may take for the end of a line.
 _LINE_END = re.compile(b'\\r\\n|[\\r\\n\\0]')
@@ -44,11 +45,17 @@
         }
     ],
     'services': [{'name': 'svc', 'max_conns': 20, 'sync_replicas': 0}],
-    'tenants': [{'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 50, 'burst': 50}],
+    'tenants': [
+        {'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 50, 'burst': 50},
+        {'name': 'bulk', 'api_keys': ['bulk-key'], 'rate_per_s': 5000, 'burst': 5000},
+    ],
     'limits': {'tx_idle_ms': 3000},
 }
 
 
+#: Pause between two sessions that are watched, in seconds; less than the rate of their organisation allows.
+_PAUSE_S = 0.05
+
 #: Item after which the database says that a transaction is open, though none was begun.
 LEFT_OPEN = 'left-open'
 
@@ -291,6 +298,33 @@
             self._await_reuse(caller)
             return [self._read_connection(caller, item) for item in items]
 
+    def open_session(self, key: str = 'secret', receive_bytes: int | None = None) -> socket.socket:
+        """:returns: An open session of a caller, for which the kernel keeps about this many unread bytes."""
+        return self._open(f'START db {key}', receive_bytes)
+
+    def await_primary(self) -> None:
+        """Wait until statements are served."""
+        with self._open('START db secret') as caller:
+            self._await_primary(caller)
+
+    def longest_read_s(self, until: float) -> float:
+        """:returns: Longest time that opening a session and a read took until then, in seconds."""
+        longest_s = 0.0
+        while time.monotonic() < until:
+            began_at = time.monotonic()
+            with self._open('START db secret') as caller:
+                answer = self._ask(caller, 'QUERY sound READ none', 3)
+                assert answer[1].startswith('DONE'), answer
+            longest_s = max(longest_s, time.monotonic() - began_at)
+            time.sleep(_PAUSE_S)
+        return longest_s
+
+    def peak_memory_mb(self) -> float:
+        """:returns: Largest resident memory of the instance so far, in MB."""
+        assert self._process is not None
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        return int(status.partition('VmHWM:')[2].split()[0]) / _KB_PER_MB
+
     def ran(self) -> list[tuple[str, str]]:
         """:returns: Ids and texts of the statements that the database ran."""
         return list(self._standin.ran)
@@ -352,8 +386,12 @@
         ran = zip(self._standin.ran, self._standin.connections, strict=True)
         return [connection for (request, _), connection in ran if request == f'r-{item}'][-1]
 
-    def _open(self, opening: str) -> socket.socket:
-        caller = socket.create_connection((_HOST, self._ports['callers']), timeout=5)
+    def _open(self, opening: str, receive_bytes: int | None = None) -> socket.socket:
+        caller = socket.socket()
+        caller.settimeout(5)
+        if receive_bytes is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        caller.connect((_HOST, self._ports['callers']))
         assert self._ask(caller, opening, 1) == ['READY I -']
         return caller
 
--- /dev/null
+++ b/features/steps/backlog_steps.py
@@ -0,0 +1,124 @@
+"""Steps that test what callers cost the others who send too much, or don't read their answers."""
+
+import contextlib
+import socket
+import threading
+import time
+from typing import Any
+from unittest import mock
+
+from behave import then, when
+
+from features import line_ends
+from fescuequay_core.relay.buffer_shares import BufferShares
+from fescuequay_core.types import OrganisationId
+from fescuequay_platform import codec
+
+_MESSAGES_BY_NAME = {'empty lines': b'\n', 'unknown kinds': b'x\r\n', 'session values': b'QUERY a SET x y\r\n'}
+_FLOOD_BYTES = 2**20
+
+#: Unread bytes that the kernel keeps for a caller who reads nothing.
+_RECEIVE_BYTES = 65536
+
+#: Time for which others are watched, in seconds.
+_WATCH_S = 4.0
+
+#: Longest wait until sessions that read nothing are reset, in seconds; the limit is 10 s.
+_RESET_WAIT_S = 20.0
+
+
+@when('{count:d} short messages arrive at once on a connection')
+def step_many(context: Any, count: int) -> None:
+    protocol, transport = line_ends.connect()
+    with mock.patch.object(codec, '_decode_line', wraps=codec._decode_line) as decode_line:
+        protocol.data_received(b'BYE\r\n' * count)
+    context.decoded, context.is_paused = decode_line.call_count, transport.is_paused
+
+
+@then('{count:d} message is decoded until it is read, and reading from the connection is paused')
+def step_lazily(context: Any, count: int) -> None:
+    assert (context.decoded, context.is_paused) == (count, True), (context.decoded, context.is_paused)
+
+
+@when('sessions hold {held} and may hold {limit:d} together')
+def step_held(context: Any, held: str, limit: int) -> None:
+    entries = [entry.split(' ') for entry in held.split(', ')]
+    held_by_session = {(OrganisationId(name[0]), name): int(size) for name, size in entries}
+    context.excess = list(BufferShares[str](limit).excess_of(held_by_session))
+
+
+@then('{names} are reset')
+def step_excess(context: Any, names: str) -> None:
+    assert set(context.excess) == (set() if names == 'none' else set(names.split(' '))), context.excess
+
+
+@when('{count:d} callers send 1 MiB of {what} at once')
+def step_flood(context: Any, count: int, what: str) -> None:
+    context.world.await_primary()
+    context.lines_before = len(context.world.output())
+    raw = _MESSAGES_BY_NAME[what] * (_FLOOD_BYTES // len(_MESSAGES_BY_NAME[what]))
+    context.is_undecodable = what != 'session values'
+    context.floods = count
+    _start([threading.Thread(target=_flood, args=(context.world.open_session(), raw)) for _ in range(count)])
+
+
+def _flood(caller: socket.socket, raw: bytes) -> None:
+    with caller, contextlib.suppress(OSError):
+        sending = threading.Thread(target=_send, args=(caller, raw))
+        sending.start()
+        while caller.recv(65536):
+            time.sleep(0)
+        sending.join()
+
+
+def _send(caller: socket.socket, raw: bytes) -> None:
+    with contextlib.suppress(OSError):
+        caller.sendall(raw)
+
+
+def _start(threads: list[threading.Thread]) -> None:
+    for thread in threads:
+        thread.daemon = True
+        thread.start()
+
+
+@then('others are served within {limit_s:d} s each, and the instance uses at most {limit_mb:d} MB')
+def step_served(context: Any, limit_s: int, limit_mb: int) -> None:
+    longest_s = context.world.longest_read_s(time.monotonic() + _WATCH_S)
+    assert longest_s < limit_s, longest_s
+    assert context.world.peak_memory_mb() <= limit_mb, context.world.peak_memory_mb()
+
+
+@then('each flood of undecodable messages has logged at most {most:d} lines')
+def step_logged(context: Any, most: int) -> None:
+    lines = [line for line in context.world.output()[context.lines_before :] if 'event=bad_message' in line]
+    assert len(lines) <= most * context.floods, len(lines)
+    assert bool(lines) == context.is_undecodable, lines[:2]
+
+
+@when('{count:d} callers ask for an answer of {size:d} bytes {times:d} times each and read nothing')
+def step_unread(context: Any, count: int, size: int, times: int) -> None:
+    context.world.await_primary()
+    with context.world.open_session() as writer:
+        writer.sendall(b'QUERY w1 WRITE large ' + b'x' * size + b'\r\n')
+        assert writer.recv(100).startswith(b'DONE')
+    context.silent = [context.world.open_session('bulk-key', _RECEIVE_BYTES) for _ in range(count)]
+    for caller in context.silent:
+        caller.sendall(b'QUERY r1 READ large\r\n' * times)
+
+
+@then('each of these sessions ends, and the log says which, how much it left unread and for how long')
+def step_reset(context: Any) -> None:
+    names = {'{0}:{1}'.format(*caller.getsockname()) for caller in context.silent}
+    until = time.monotonic() + _RESET_WAIT_S
+    while time.monotonic() < until and len(_resets(context)) < len(names):
+        time.sleep(0.2)
+    resets = _resets(context)
+    assert {line.partition('session=')[2].split(' ')[0] for line in resets} == names, (len(resets), len(names))
+    assert all('unread_bytes=' in line and 'waited_s=' in line for line in resets), resets[:2]
+    for caller in context.silent:
+        caller.close()
+
+
+def _resets(context: Any) -> list[str]:
+    return [line for line in context.world.output() if 'event=answer_unread' in line]
--- a/packages/fescuequay-emulator/fescuequay_emulator/callers.py
+++ b/packages/fescuequay-emulator/fescuequay_emulator/callers.py
@@ -146,6 +146,25 @@
         """:returns: Whether received messages are unread."""
         return bool(self._inbox)
 
+    def watch_backlog(self, on_backlog: Callable[[], None]) -> None:
+        """Do nothing: callers of the model read at once."""
+
+    def held_bytes(self) -> int:
+        """:returns: Zero."""
+        return 0
+
+    def unread_bytes(self) -> int:
+        """:returns: Zero."""
+        return 0
+
+    async def wait_until_read(self, limit_s: float) -> bool:
+        """:returns: True."""
+        return True
+
+    def abort(self) -> None:
+        """Close the connection from the instance's side."""
+        self.close()
+
     def answer(self, rows: Sequence[str], signature: str, state: SessionState, position: LogPosition | None) -> None:
         """Deliver a successful answer to the caller."""
         if self._wire is not None and rows:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/instance.py
@@ -26,7 +26,6 @@
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.pool import ConnectionSource, Pools, TargetPool
 from fescuequay_entry.relay.ports import (
-    CallerConnection,
     CallerListener,
     Feed,
     OperatorEntry,
@@ -38,7 +37,7 @@
 )
 from fescuequay_entry.relay.records import Records
 from fescuequay_entry.relay.replacement import Replacement
-from fescuequay_entry.relay.session import Session
+from fescuequay_entry.relay.sessions import Sessions
 from fescuequay_entry.relay.settings import RelaySettings
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
@@ -158,7 +157,8 @@
         self.membership = Membership(
             self.board, records, peers, coordinator, self._target_follower, self.configurations
         )
-        self._sessions: set[Session] = set()
+        memory_mb = None if settings.capacity is None else settings.capacity.memory_mb
+        self._sessions = Sessions(self.board, self._runner, self.metrics, memory_mb)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -180,7 +180,7 @@
         self._start_task('mover', self._watch_isolation())
         if self._adapters.hops is not None:
             await self._adapters.hops.listen(self._gateway.accept)
-        await self._adapters.listener.start(self._serve_caller)
+        await self._adapters.listener.start(self._sessions.serve)
         log_event('started', instance=settings.instance)
 
     async def stop(self) -> None:
@@ -198,8 +198,7 @@
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
         self._adapters.listener.stop_accepting()
         while self.board.clock() < end_at and self._is_busy():
-            for session in tuple(self._sessions):
-                session.close_if_idle()
+            self._sessions.close_idle()
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
         await asyncio.wait({releasing_lease}, timeout=_LEAVE_TIMEOUT_S)
         for task in self._tasks:
@@ -212,7 +211,7 @@
 
     def unanswered_count(self) -> int:
         """:returns: Number of sessions whose latest request has not been answered."""
-        return sum(session.is_busy for session in self._sessions)
+        return self._sessions.busy_count()
 
     def is_ready(self) -> bool:
         """:returns: Whether the load balancer should send new callers to this instance."""
@@ -236,14 +235,6 @@
             return None
         return lambda pool: GatewaySource(self.board, directory, peers, pool, self.metrics.gateway)
 
-    async def _serve_caller(self, caller: CallerConnection) -> None:
-        session = Session(self.board, self._runner, self.metrics, caller)
-        self._sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self._sessions.discard(session)
-
     async def _sweep(self) -> None:
         gap_s = _suspended_s()
         while True:
@@ -275,7 +266,7 @@
         """Close idle sessions if this instance is isolated, so that their callers reconnect to other instances."""
         if not self.membership.is_isolated(_CLOSE_IDLE_AFTER_S):
             return
-        closed = sum(session.close_if_idle() for session in tuple(self._sessions))
+        closed = self._sessions.close_idle()
         if closed:
             log_event('callers_moved', sessions=closed, isolated_s=round(self.membership.isolated_s(), 2))
 
--- a/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/ports.py
@@ -459,6 +459,30 @@
     def has_unread(self) -> bool:
         """:returns: Whether input of the caller has arrived that was not received yet."""
 
+    @abc.abstractmethod
+    def watch_backlog(self, on_backlog: Callable[[], None]) -> None:
+        """Call a function whenever much has come to wait to be decoded or sent."""
+
+    @abc.abstractmethod
+    def held_bytes(self) -> int:
+        """:returns: Number of bytes that wait to be decoded or sent."""
+
+    @abc.abstractmethod
+    def unread_bytes(self) -> int:
+        """:returns: Number of bytes of answers that the caller has not read; after the end, that it never read."""
+
+    @abc.abstractmethod
+    async def wait_until_read(self, limit_s: float) -> bool:
+        """Wait until the caller has read its answers, but for a rest.
+
+        :param limit_s: Longest wait, in seconds.
+        :returns: Whether it has, or the connection has ended.
+        """
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Reset the connection and discard pending output."""
+
     @abc.abstractmethod
     def answer(self, rows: Sequence[str], signature: str, state: SessionState, position: LogPosition | None) -> None:
         """Send the result of a successful statement. :raises Unsendable: It holds what cannot be sent."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -34,11 +34,18 @@
     TargetLost,
     Unsendable,
 )
+from fescuequay_entry.relay.session_buffers import Holder, SessionBuffers
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
 #: Timeout for the first message of a caller, in seconds; callers send it as soon as they are connected.
 _OPENING_TIMEOUT_S: Final = 5.0
 
+#: Time for which a caller may leave an answer unread, in seconds; the longest deadline of the users' callers is 10 s.
+_UNREAD_TIMEOUT_S: Final = 10.0
+
+#: Number of messages in a row that cannot be decoded after which a session ends.
+_MAX_BAD_MESSAGES: Final = 16
+
 #: Retry-after of a transaction that could not begin, in seconds: the duration of several statements.
 _BEGIN_RETRY_AFTER_S: Final = 0.2
 
@@ -64,17 +71,26 @@
     failure: Refused | None = None
 
 
-class Session:
+class Session(Holder):
     """Serves one caller connection until either side closes it.
 
     :param board: Shared state of the instance.
     :param runner: Runs statements at targets.
     :param metrics: Counters and histograms.
+    :param buffers: Memory for what waits on the connections of callers.
     :param caller: Connection of the caller.
     """
 
-    def __init__(self, board: Board, runner: StatementRunner, metrics: RelayMetrics, caller: CallerConnection) -> None:
+    def __init__(
+        self,
+        board: Board,
+        runner: StatementRunner,
+        metrics: RelayMetrics,
+        buffers: SessionBuffers,
+        caller: CallerConnection,
+    ) -> None:
         self._board = board
+        self._buffers = buffers
         self._runner = runner
         self._metrics = metrics
         self._caller = caller
@@ -87,11 +103,14 @@
         self._transaction: OpenTransaction | None = None
         self._basis = board.configuration_basis()
         self._previous_request = RequestId('-')
+        self._bad_messages = 0
+        self._has_backlog = False
         self.is_busy = True
 
     async def run(self) -> None:
         """Open the session and serve its statements until the connection ends."""
         self._metrics.sessions.inc()
+        self._caller.watch_backlog(self._record_backlog)
         try:
             if await self._open():
                 await self._serve_as_active()
@@ -99,6 +118,23 @@
             self._metrics.sessions.dec()
             self._end_transaction(is_clean=False)
             self._caller.close()
+            self._buffers.forget(self)
+
+    def held_bytes(self) -> int:
+        """:returns: Number of bytes that wait to be decoded or sent."""
+        return self._caller.held_bytes()
+
+    def reset(self, reason: str) -> None:
+        """Reset the connection and discard what waits."""
+        log_event(
+            'session_reset',
+            session=self._caller.peer,
+            organisation=self._organisation_label(),
+            held_bytes=self.held_bytes(),
+            previous=self._previous_request,
+            reason=reason,
+        )
+        self._caller.abort()
 
     def close_if_idle(self) -> bool:
         """:returns: Whether the session was idle, without transaction or unread input, and has been closed."""
@@ -155,16 +191,52 @@
             if isinstance(message, Closing):
                 return
             if isinstance(message, Query):
+                self._bad_messages = 0
                 await self._handle_query(message)
             elif not self._refuse_bad_message(message):
                 return
+            if not await self._await_reader():
+                return
+            if not (isinstance(message, Query) and message.statement.kind not in _LOCAL_KINDS):
+                # Nothing has been waited for: other sessions go first.
+                await asyncio.sleep(0)
 
     def _refuse_bad_message(self, message: BadMessage | Opening) -> bool:
         """:returns: Whether the session can continue after a malformed or unexpected message."""
         detail = message.detail if isinstance(message, BadMessage) else 'the session is already open'
         self._log_bad_message(detail, message.extent if isinstance(message, BadMessage) else NO_EXTENT)
+        self._bad_messages += 1
+        is_last = self._bad_messages >= _MAX_BAD_MESSAGES
+        if is_last:
+            detail = f'{detail}; the session ends after {self._bad_messages} such messages in a row'
         self._caller.refuse(Refused(refusals.MALFORMED, detail), self._state(), self._reported_position)
-        return isinstance(message, BadMessage) and not message.is_fatal
+        return isinstance(message, BadMessage) and not (message.is_fatal or is_last)
+
+    async def _await_reader(self) -> bool:
+        """:returns: Whether the caller has read its answers in time, so that its next statement may run."""
+        began_at = self._board.clock()
+        is_read = await self._caller.wait_until_read(_UNREAD_TIMEOUT_S)
+        unread_bytes = self._caller.unread_bytes()
+        if not unread_bytes:
+            if self._has_backlog and not self.held_bytes():
+                self._has_backlog = False
+                self._buffers.forget(self)
+            return True
+        log_event(
+            'answer_unread',
+            session=self._caller.peer,
+            organisation=self._organisation_label(),
+            previous=self._previous_request,
+            unread_bytes=unread_bytes,
+            waited_s=round(self._board.clock() - began_at, 3),
+            outcome='connection lost' if is_read else 'reset',
+        )
+        self._caller.abort()
+        return False
+
+    def _record_backlog(self) -> None:
+        self._has_backlog = True
+        self._buffers.record_backlog(self, OrganisationId(self._organisation_label()))
 
     def _log_bad_message(self, detail: str, extent: Extent) -> None:
         log_event(
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -31,11 +31,13 @@
     :param cpu_share: Share of one core.
     :param cores: How many times as fast as one core it is.
     :param link_mbps: Bandwidth of its network link, in Mbit/s.
+    :param memory_mb: Memory of its process, in MB; a quarter may hold what waits on the connections of callers.
     """
 
     cpu_share: Annotated[float, msgspec.Meta(gt=0)]
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=1)] | None = None
 
 
 class RelaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
