Test the outcome of an unreadable commit and the transaction of a session that ends

No test noticed when the commit whose answer can't be read was refused as aborted, which promises that nothing is kept, nor when the transaction of a session was kept at its end: framing.feature and relay.feature passed with either change. Both scenarios pass now and fail with them.

--- a/features/odd_answers.feature
+++ b/features/odd_answers.feature
@@ -45,3 +45,14 @@
   Scenario: Long session values of one caller don't end the stream between instances that all callers share
     When a statement with 8 session values of 1 MiB each is sent to a gateway, and then another message
     Then the gateway reads the message behind it
+
+  Scenario: A commit whose answer can't be read is not said to have no effect
+    Given a session of an organisation with 3 tokens in stock
+    When its transaction is committed and the target's answer can't be read
+    Then its outcome is unknown
+    And the connection was given back once
+
+  Scenario: A session that ends behind an undecodable message gives up the connection of its transaction
+    Given a session of an organisation with 3 tokens in stock
+    When it writes in a transaction and sends what can't be decoded
+    Then the connection was given back once
--- a/features/odd_answers.py
+++ b/features/odd_answers.py
@@ -1,17 +1,18 @@
 """Builders of targets that answer what can't be read, and of what callers send to make an instance stumble."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, Final
 from unittest import mock
 
 from features.relay_processes import Deployment, PlatformStandIn
-from fescuequay_core.relay.model import SessionState, Statement, StatementKind
+from features.steps import token_charge_steps
+from fescuequay_core.relay.model import Credential, SessionState, Statement, StatementKind
 from fescuequay_core.types import RequestId
 from fescuequay_emulator.callers import ModelCaller
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.operation import Placement
-from fescuequay_entry.relay.ports import Opening, Outcome, Query, Unsendable
+from fescuequay_entry.relay.ports import Opening, Outcome, Query, UnreadableAnswer, Unsendable
 from fescuequay_entry.relay.session import Session
 
 #: Maximum length of a message without its end, in bytes.
@@ -23,7 +24,14 @@
 #: Ends of the statements that are answered with such a row.
 _UNREADABLY_ANSWERED: Final = (f' READ {UNREADABLE}', f' SET v {UNREADABLE}', ' BEGIN')
 
-_COMMIT: Final = Statement(StatementKind.COMMIT, 'COMMIT')
+#: Message that commits.
+COMMIT: Final = Query(RequestId('q3'), Statement(StatementKind.COMMIT, 'COMMIT'))
+
+_WRITING: Final = (
+    Opening(token_charge_steps.DATABASE, Credential('key')),
+    Query(RequestId('q1'), Statement(StatementKind.BEGIN, 'BEGIN', is_write=True)),
+    Query(RequestId('q2'), Statement(StatementKind.WRITE, 'WRITE x 1', is_write=True)),
+)
 
 
 class OddStandIn(PlatformStandIn):
@@ -108,20 +116,26 @@
         self.given_back += 1
 
 
-async def commit_unsendably(board: Any, runner: Any, opening: Opening) -> None:
-    """Commit a transaction in a session whose caller can't be told."""
-    caller = UnsendableCaller()
+class UnreadableRunner(CountingRunner):
+    """Runs each statement with success, except that the answer of a commit can't be read."""
+
+    async def execute(self, *arguments: Any) -> Outcome:
+        """:returns: A success. :raises UnreadableAnswer: It is a commit."""
+        if arguments[3].kind is StatementKind.COMMIT:
+            raise UnreadableAnswer('a NUL inside a message')
+        return await super().execute(*arguments)
+
+
+async def write_and_end(board: Any, runner: Any, caller: ModelCaller, messages: Iterable[Any]) -> Any:
+    """Open a session, write in a transaction, send further messages and disconnect.
+
+    :returns: The answer to the last of these messages.
+    """
     serving = asyncio.ensure_future(Session(board, runner, RelayMetrics(), caller).run())
-    caller.send(opening)
-    await caller.next_answer()
-    for number, statement in enumerate(
-        (
-            Statement(StatementKind.BEGIN, 'BEGIN', is_write=True),
-            Statement(StatementKind.WRITE, 'WRITE x 1', is_write=True),
-            _COMMIT,
-        )
-    ):
-        caller.send(Query(RequestId(f'q{number}'), statement))
-        await caller.next_answer()
+    answer = None
+    for message in (*_WRITING, *messages):
+        caller.send(message)
+        answer = await caller.next_answer()
     caller.disconnect()
     await serving
+    return answer
--- a/features/steps/odd_answer_steps.py
+++ b/features/steps/odd_answer_steps.py
@@ -9,11 +9,12 @@
 from behave import given, then, when
 
 from features import gateway_builders, line_ends, odd_answers
-from features.steps import token_charge_steps
-from fescuequay_core.relay.model import Credential, Statement, StatementKind
+from fescuequay_core.relay import refusals
+from fescuequay_core.relay.model import Statement, StatementKind
 from fescuequay_core.types import RequestId
+from fescuequay_emulator.callers import ModelCaller
 from fescuequay_entry.relay.hop_frames import FrameDecoder, FrameError, Ping, encode
-from fescuequay_entry.relay.ports import Opening, Outcome, TargetLost
+from fescuequay_entry.relay.ports import BadMessage, Outcome, TargetLost
 from fescuequay_platform.connections import LineTarget
 
 _READ = Statement(StatementKind.READ, 'READ x')
@@ -117,8 +118,28 @@
 @when("its transaction is committed and the answer can't be passed on")
 def step_commit(context: Any) -> None:
     context.runner = odd_answers.CountingRunner()
-    opening = Opening(token_charge_steps.DATABASE, Credential('key'))
-    asyncio.run(odd_answers.commit_unsendably(context.token_board, context.runner, opening))
+    _write_and_end(context, odd_answers.COMMIT, odd_answers.UnsendableCaller())
+
+
+def _write_and_end(context: Any, message: Any, caller: ModelCaller) -> None:
+    context.answer = asyncio.run(odd_answers.write_and_end(context.token_board, context.runner, caller, [message]))
+
+
+@when("its transaction is committed and the target's answer can't be read")
+def step_commit_unread(context: Any) -> None:
+    context.runner = odd_answers.UnreadableRunner()
+    _write_and_end(context, odd_answers.COMMIT, ModelCaller())
+
+
+@when("it writes in a transaction and sends what can't be decoded")
+def step_undecodable(context: Any) -> None:
+    context.runner = odd_answers.CountingRunner()
+    _write_and_end(context, BadMessage('a NUL inside a message', is_fatal=True), ModelCaller())
+
+
+@then('its outcome is unknown')
+def step_unknown(context: Any) -> None:
+    assert context.answer[0].reason is refusals.LOST, context.answer
 
 
 @then('the connection was given back once')
