Refuse a field that is given twice in settings, also when spelled with an escape

Fields of settings files and operators' texts were compared as they are written: "instance" and "inst\u0061nce" passed for two fields, of which the decoder took the last one without a word. They are now compared as the decoder reads them.

features/settings.feature "A field that is given twice is refused": both cases with an escape loaded instance n1 before; all three are refused now.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -56,3 +56,13 @@
       | kind       |
       | a relaying |
       | an entry   |
+
+  Scenario Outline: A field that is given twice is refused, also when <how>
+    When a settings file of a relaying instance names its instance twice, <how>
+    Then they are refused in one line that names the file and instance
+
+    Examples:
+      | how                              |
+      | both times as it is              |
+      | the second time with an escape   |
+      | the first time with an escape    |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -55,12 +55,24 @@
     _load(context, kind, {setting: text.removesuffix(':80\n') + '\n' if setting == 'host' and text else text})
 
 
+@when('a settings file of a relaying instance names its instance twice, {how}')
+def step_twice(context: Any, how: str) -> None:
+    names = {'first': ('\\u0069nstance', 'instance'), 'second': ('instance', 'inst\\u0061nce')}
+    first, second = names.get(how.split()[1], ('instance', 'instance'))
+    rest = json.dumps({name: value for name, value in _RELAYING.items() if name != 'instance'})[1:]
+    _load_text(context, 'a relaying', f'{{"{first}": "n0", "{second}": "n1", {rest}')
+
+
 def _load(context: Any, kind: str, odd: dict[str, str]) -> None:
-    plain, load, refused = _KINDS[kind]
-    settings = {**plain, **odd}
+    settings = {**_KINDS[kind][0], **odd}
     context.line = 2 + list(settings).index(next(iter(odd), 'instance'))
+    _load_text(context, kind, json.dumps(settings, indent=1))
+
+
+def _load_text(context: Any, kind: str, text: str) -> None:
+    _, load, refused = _KINDS[kind]
     with tempfile.NamedTemporaryFile('w', suffix='.jsonc') as file:
-        file.write(json.dumps(settings, indent=1))
+        file.write(text)
         file.flush()
         context.path, context.error = file.name, None
         try:
--- a/packages/fescuequay-core/fescuequay_core/jsonc.py
+++ b/packages/fescuequay-core/fescuequay_core/jsonc.py
@@ -168,10 +168,18 @@
         innermost.index += 1
         return None
     if kind == 'string' and innermost.is_object and innermost.next_key is None:
-        innermost.next_key = token[1:-1]
+        innermost.next_key = _key_of(token)
         return None
     return innermost.child_path() if kind in {'string', 'other'} else None
 
 
+def _key_of(token: str) -> str:
+    """:returns: The key that a string stands for; one with a wrong escape is refused by the decoder."""
+    try:
+        return msgspec.json.decode(token, type=str)
+    except msgspec.DecodeError:
+        return token[1:-1]
+
+
 def _line_of(text: str, offset: int) -> int:
     return text.count('\n', 0, offset) + 1
