Refuse a log level that there is none of when the settings are checked

--check found log_level "loud" usable; the instance then ended at its start with a traceback, and a reload raised ValueError in the handler of SIGHUP instead of writing settings_refused.

features/settings.feature: the two cases of log_level were loaded before, and are refused with file and line now.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -20,6 +20,8 @@
       | host        | a name with a header in it  |
       | host        | an address with a line feed |
       | host        | an empty name               |
+      | log_level   | a name with a line feed     |
+      | log_level   | an unknown level            |
 
   Scenario Outline: An address that ends with a line feed is refused
     When the settings of a relaying instance have an address with a line feed for <setting>
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -19,6 +19,7 @@
     'a name with a blank': 'n 0',
     'a name with a next line': 'n0\x85x',
     'an empty name': '',
+    'an unknown level': 'loud',
     'a name of 300 characters': 'n' * 300,
     'an address with a line feed': '127.0.0.1:80\n',
     'an address with other digits': '127.0.0.1:\u00b2',
@@ -64,9 +65,10 @@
 
 
 def _load(context: Any, kind: str, odd: dict[str, str]) -> None:
-    settings = {**_KINDS[kind][0], **odd}
-    context.line = 2 + list(settings).index(next(iter(odd), 'instance'))
-    _load_text(context, kind, json.dumps(settings, indent=1))
+    text = json.dumps({**_KINDS[kind][0], **odd}, indent=1)
+    before, _, _ = text.partition(f'"{next(iter(odd), "instance")}"')
+    context.line = before.count('\n') + 1
+    _load_text(context, kind, text)
 
 
 def _load_text(context: Any, kind: str, text: str) -> None:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/settings.py
@@ -13,10 +13,13 @@
 
 Address = Annotated[str, msgspec.Meta(pattern=r'\A[0-9.]+:[0-9]{1,5}\Z')]
 
+_LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
+
 #: Whether a setting can be sent and written where it is used, and what it has to be.
 _CHECKS_BY_SETTING: Final[dict[str, tuple[Callable[[str], bool], str]]] = {
     'instance': (is_header_name, 'a name in printable ASCII without blanks, of at most 190 characters'),
     'data_centre': (is_plain_name, 'a printable name without blanks, of at most 190 characters'),
+    'log_level': (lambda text: text.upper() in _LOG_LEVELS, f'one of {", ".join(_LOG_LEVELS).lower()}'),
     'host': (lambda text: re.fullmatch('[0-9.]+', text) is not None, 'an IP address'),
 }
 
