Send nothing on a stream to a gateway that ended while it was opened

When a gateway's first bytes were no frame, or of another version of the format, the end of the stream came before the asking instance had it in use, and was forgotten. Statements were then given to the dead stream: after 0.3 s of silence their outcome was unknown to callers though nothing had been sent.

The stream remembers its end, opening it fails, the statement takes another way at once and the gateway is avoided.

--- a/features/hops.feature
+++ b/features/hops.feature
@@ -123,3 +123,7 @@
   Scenario: No order of frames makes a statement run twice
     When 30 streams bring requests that are repeated, cancelled, dropped and out of order
     Then no statement ran twice, and many of the streams were ended
+
+  Scenario: A stream that ends while it is opened is not used
+    When a gateway's first bytes are no frame, and arrive before the stream is in use
+    Then the statement takes another way at once, and the gateway is avoided
--- a/features/steps/hop_order_steps.py
+++ b/features/steps/hop_order_steps.py
@@ -18,7 +18,9 @@
 from fescuequay_core.relay.model import StatementKind
 from fescuequay_entry.relay import ask_checks
 from fescuequay_entry.relay.hop_frames import Answer, Ask, Cancel, Drop, Fate, Frame, Step
-from fescuequay_entry.relay.hop_streams import HopStream
+from fescuequay_entry.relay.hop_streams import GatewayPeer, HopStream
+from fescuequay_entry.relay.hop_tcp import TcpHops
+from fescuequay_entry.relay.hops import HopLink, HopReceiver
 from fescuequay_platform import statements
 
 _SENT_KINDS: Final = frozenset((StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT))
@@ -124,3 +126,30 @@
     twice = {key: times for key, times in context.runs.items() if times > 1}
     assert not twice, twice
     assert context.runs and context.ended > context.count // 3, (len(context.runs), context.ended)
+
+
+class _EndingHops(TcpHops):
+    """Opens streams that end before they are in use."""
+
+    def __init__(self) -> None:
+        super().__init__('127.0.0.1', 1)
+
+    async def connect(self, address: str, receiver: HopReceiver) -> HopLink:
+        receiver.end('format version 2 instead of 1')
+        return BenchLink()
+
+
+@when("a gateway's first bytes are no frame, and arrive before the stream is in use")
+def step_ended_early(context: Any) -> None:
+    async def steps(bench: GatewayBench) -> None:
+        context.peer = GatewayPeer(bench.instance.board, _EndingHops(), builders.member('other', 'd0', 1.0))
+        context.stream = await context.peer.usable_stream(bench.primary.target)
+        context.is_avoided = context.peer.is_avoided()
+
+    GatewayBench().run(steps)
+
+
+@then('the statement takes another way at once, and the gateway is avoided')
+def step_other_way(context: Any) -> None:
+    assert context.stream is None, context.stream
+    assert context.is_avoided
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_streams.py
@@ -79,6 +79,7 @@
         self._on_failure = on_failure
         self._on_leaving = on_leaving
         self._link: HopLink | None = None
+        self._end_detail: str | None = None
         self._outstanding_by_number: dict[int, _Outstanding] = {}
         self._last_number = 0
         self._received_at: Instant = clock()
@@ -105,7 +106,9 @@
         return not self._outstanding_by_number and self._received_at < at
 
     def open(self, link: HopLink) -> None:
-        """Begin to use an open link."""
+        """Begin to use an open link. :raises HopUnreachable: It has ended already."""
+        if self._end_detail is not None:
+            raise HopUnreachable(self._end_detail)
         self._link = link
         self._received_at = self._clock()
 
@@ -161,6 +164,7 @@
 
     def end(self, detail: str) -> None:
         """Fail what is outstanding."""
+        self._end_detail = detail
         if self._link is None:
             return
         self._link = None
@@ -306,12 +310,12 @@
         try:
             host, port = split_address(self.member.address)
             link = await asyncio.wait_for(self._hops.connect(f'{host}:{port + 1}', stream), _CONNECT_TIMEOUT_S)
+            stream.open(link)
         except (HopUnreachable, TimeoutError, ValueError) as error:
             self._record_failure(str(error) or 'no stream could be opened in time')
             return False
         finally:
             self._connecting = None
-        stream.open(link)
         self._stream = stream
         if self._board.clock() - self._failed_at > _FORGET_AFTER_S:
             self._failures = 0
