--- a/features/settings.feature
+++ b/features/settings.feature
@@ -20,6 +20,8 @@
       | host        | a name with a header in it  |
       | host        | an address with a line feed |
       | host        | an empty name               |
+      | log_level   | a name with a line feed     |
+      | log_level   | an unknown level            |
 
   Scenario Outline: An address that ends with a line feed is refused
     When the settings of a relaying instance have an address with a line feed for <setting>
@@ -56,3 +58,13 @@
       | kind       |
       | a relaying |
       | an entry   |
+
+  Scenario Outline: A field that is given twice is refused, also when <how>
+    When a settings file of a relaying instance names its instance twice, <how>
+    Then they are refused in one line that names the file and instance
+
+    Examples:
+      | how                              |
+      | both times as it is              |
+      | the second time with an escape   |
+      | the first time with an escape    |
