Let the soak send requests inside fields and check that databases run only what callers sent

Databases now take CR, LF and NUL for the end of a line and run what they see, and check each message as the protocol reads it. Rude callers send requests inside fields, in chunks, in pipelines and transactions, under the ids '-' and '', behind messages that are too long, and unfinished messages. Databases answer oddly for a while: bare LF or CR in a row, cut, late or repeated answers, bytes behind READY, a wrong state. New checks: UNASKED (a statement, an internal one or a success that no caller's message asked for), MIXED (a success with the signature or row of another request), ANSWERED (a valid message before an undecodable one stays unanswered while its process runs). The report counts how often each was tried.

The new faults draw from generators of their own.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -8,23 +8,25 @@
 import signal
 import sys
 import time
-from typing import Any, Final
+from typing import Final
 
 import click
 
 from features import odd_entries
 from features.soak.callers import (
     ANSWER_TIMEOUT_S,
-    MAX_STALENESS_S,
     TRANSACTION_PAUSE_S,
     BoundedReader,
     Caller,
     TransactionHolder,
 )
+from features.soak.configuration import BOUNDED_HOST, make_configuration
 from features.soak.databases import HOST, Service
 from features.soak.history import History
 from features.soak.instances import Process, make_folder
+from features.soak.odd_answers import Oddity
 from features.soak.platform import Platform
+from features.soak.rude_callers import RudeCaller
 
 #: Time without faults before and after the part with faults, in seconds: long enough for a power loss and a failover.
 #: Callers must have been served during the last half of it.
@@ -33,7 +35,6 @@
 #: Range of the interval between two faults, in seconds. Most faults last longer, so that they overlap.
 _FAULT_INTERVAL_S: Final = (0.6, 2.0)
 
-
 #: Time within which a route must be known everywhere, in seconds; the default of the settings.
 _APPLY_S: Final = 5.0
 
@@ -51,11 +52,6 @@
 #: Number of transactions that stay open.
 _TRANSACTIONS: Final = 6
 
-#: Database of the route that accepts data of some age.
-_BOUNDED_HOST: Final = 'bounded'
-
-_MS_PER_S: Final = 1000
-
 #: Number of keys under which another writer leaves entries.
 _ODD_KEYS: Final = 8
 
@@ -63,33 +59,6 @@
 _WATCH_INTERVAL_S: Final = 0.2
 
 
-def _configuration(services: list[Service], version: int = 1) -> dict[str, Any]:
-    """:returns: A configuration that has one route more, named after its version."""
-    routes: list[dict[str, Any]] = [
-        {
-            'name': f'r-{host}',
-            'host': host,
-            'route_type': 'primary',
-            'service': service,
-            'timeout_ms': 1000,
-            'target_latency_ms': 400,
-        }
-        for host, service in (
-            *((service.name, service.name) for service in services),
-            (f'added-{version}', services[0].name),
-            (_BOUNDED_HOST, services[-1].name),
-        )
-    ]
-    routes[-1].update(route_type='bounded_staleness', max_staleness_ms=int(MAX_STALENESS_S * _MS_PER_S))
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [{'name': service.name, 'max_conns': 200, 'sync_replicas': 0} for service in services],
-        'tenants': [{'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 5000, 'burst': 5000}],
-        'limits': {'tx_idle_ms': 3000},
-    }
-
-
 class Soak:
     """One run of the soak test.
 
@@ -108,6 +77,7 @@
         self._version = 1
         self._seconds = seconds
         self._late_rng = random.Random(f'late {seed}')
+        self._answers_rng, self._rude_rng = random.Random(f'answers {seed}'), random.Random(f'rude {seed}')
         #: The last one has no callers but those of a replacement under open transactions.
         self._services = [Service(name, self.history) for name in ('one', 'two', 'quiet')]
         self._platform = Platform(self._services)
@@ -124,13 +94,14 @@
         tasks = [asyncio.ensure_future(process.poll_readiness()) for process in self._processes]
         tasks.append(asyncio.ensure_future(self._watch_processes()))
         try:
-            tasks.extend(asyncio.ensure_future(caller.run()) for caller in self._callers())
+            tasks.extend(asyncio.ensure_future(caller.run()) for caller in (*self._callers(), *self._rude_callers()))
             await asyncio.sleep(_FAULT_FREE_S)
             await self._replace_under_transactions()
             await self._hold_promotion()
             await asyncio.gather(
                 self._inject_faults(),
                 self._inject_odd_events(),
+                self._inject_odd_answers(),
                 self._hold_promotion(),
                 self._replace_under_transactions(),
             )
@@ -147,7 +118,7 @@
         for service in self._services:
             await service.start()
         await self._platform.start()
-        self._platform.put('op', 'config', _configuration(self._services))
+        self._platform.put('op', 'config', make_configuration(self._services))
         self._processes = [Process(f'n{number}', self._platform, self.folder) for number in range(self._count)]
 
     def _callers(self) -> list[Caller]:
@@ -156,6 +127,11 @@
             for number in range(4 * self._count)
         ]
 
+    def _rude_callers(self) -> list[RudeCaller]:
+        databases = (*(service.name for service in self._services[:-1]), BOUNDED_HOST)
+        shared = (databases, self.history.requests, self._processes)
+        return [RudeCaller(number, *shared, self._rude_rng) for number in range(2 * self._count)]
+
     async def _inject_faults(self) -> None:
         until = time.monotonic() + self._seconds
         running: list[asyncio.Task[None]] = []
@@ -193,6 +169,17 @@
             event()
             await asyncio.sleep(self._odd_rng.uniform(*_FAULT_INTERVAL_S))
 
+    async def _inject_odd_answers(self) -> None:
+        """Let the databases of a service answer oddly for a while, again and again until the end."""
+        until = time.monotonic() + self._seconds
+        while time.monotonic() < until:
+            service, oddity = self._answers_rng.choice(self._services[:-1]), self._answers_rng.choice(list(Oddity))
+            self.faults.append(f'{time.monotonic() - until + self._seconds:.1f} {service.name}: {oddity.value}')
+            self._record_fault()
+            await service.answer_oddly(oddity, self._answers_rng.uniform(*_FAULT_INTERVAL_S))
+            self._record_fault()
+            await asyncio.sleep(self._answers_rng.uniform(*_FAULT_INTERVAL_S) / 2)
+
     async def _hold_promotion(self) -> None:
         """Hold the paths of an instance to the platform as it requests a promotion, and deliver everything later."""
         seen: asyncio.Future[Process] = asyncio.get_running_loop().create_future()
@@ -228,7 +215,7 @@
         far = self._late_rng.choice([process for process in self._processes if process is not near])
         arguments = (self.history, [near], self._late_rng)
         writer = Caller(0, service.name, self.history, [far], self._late_rng)
-        reader = BoundedReader(1, _BOUNDED_HOST, *arguments)
+        reader = BoundedReader(1, BOUNDED_HOST, *arguments)
         reader.follow(writer.key)
         holders = [TransactionHolder(number, service.name, *arguments) for number in range(2, 2 + _TRANSACTIONS)]
         self.faults.append(f'{primary.name} is isolated under open transactions at {near.name}')
@@ -255,7 +242,7 @@
 
     def _change_configuration(self) -> None:
         self._version += 1
-        configuration = _configuration(self._services, self._version)
+        configuration = make_configuration(self._services, self._version)
         self._platform.put_raw('op', 'config', odd_entries.with_odd_entries(configuration))
 
     def _silence_connections(self) -> None:
@@ -397,6 +384,7 @@
         'faults': soak.faults,
         'served': history.served,
         'refused': history.refused,
+        'tried': dict(sorted(history.requests.tried.items())),
         'broken': history.violations,
         'logs': str(soak.folder),
     }
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -51,6 +51,7 @@
         self._process: Process | None = None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._sent = history.requests.open_session()
 
     async def run(self) -> None:
         """Send statements until cancelled."""
@@ -85,6 +86,7 @@
             return False
         self._process = self._rng.choice(ready)
         self._reader, self._writer = await asyncio.open_connection(HOST, self._process.callers_port)
+        self._sent = self._history.requests.open_session()
         answers = await self._request(f'START {self._database} secret')
         if not answers[-1].startswith('READY'):
             self._close()
@@ -115,13 +117,17 @@
         """:returns: The lines of the answer. :raises ConnectionError, TimeoutError: No answer came."""
         assert self._writer is not None and self._reader is not None and self._process is not None
         await self._notice_end()
-        self._writer.write(f'{line}\r\n'.encode())
+        raw = f'{line}\r\n'.encode()
+        self._sent.feed(raw)
+        self._writer.write(raw)
         answers: list[str] = []
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             while not answers or not answers[-1].startswith('READY'):
                 answers.append(await self._read_line(request))
                 if answers[-1].startswith('ERROR') and request == '-':
                     break
+        if request != '-':
+            self._history.requests.check_answer(*line.split(' ', 2)[1:], answers)
         return answers
 
     async def _notice_end(self) -> None:
--- a/features/soak/databases.py
+++ b/features/soak/databases.py
@@ -5,11 +5,13 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from features.ports import reserve_port
+from features.soak import odd_answers, wire
 from features.soak.history import Commit, History
+from features.soak.requests import Requests
 
 HOST: Final = '127.0.0.1'
 
@@ -17,6 +19,12 @@
 _STATEMENT_S: Final = 0.01
 _REPLICATION_INTERVAL_S: Final = 0.02
 
+#: Number of bytes that are read at once.
+_CHUNK_BYTES: Final = 65536
+
+#: Share of the answers that are odd while a database answers oddly.
+_ODD_SHARE: Final = 0.3
+
 #: States of a session after the statements that begin and end transactions.
 _STATES_BY_TEXT: Final = {'BEGIN': 'T', 'BEGIN READ': 'T', 'COMMIT': 'I', 'ROLLBACK': 'I'}
 
@@ -29,6 +37,8 @@
     """State of one connection."""
 
     state: str = 'I'
+    is_open: bool = False
+    shapes_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def _ignore_report() -> None:
@@ -38,6 +48,8 @@
 class Database:
     """One database: a server of the line protocol with a log.
 
+    It runs each line that it sees; a careless one takes CR, LF or NUL for the end of a line.
+
     :param name: Target id.
     :param service: Service that it belongs to.
     """
@@ -54,6 +66,8 @@
         self.is_isolated = False
         self.is_deaf = False
         self.answer_loss_probability = 0.0
+        self.is_careless = True
+        self.oddity: odd_answers.Oddity | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -61,6 +75,10 @@
         """Listen, on the same port as before after a restart."""
         self._server = await asyncio.start_server(self._serve, HOST, self.port)
 
+    @property
+    def _requests(self) -> Requests:
+        return self.service.history.requests
+
     @property
     def is_up(self) -> bool:
         """:returns: Whether it is running."""
@@ -87,14 +105,11 @@
         self._writers.add(writer)
         session = _Session()
         try:
-            while line := await reader.readline():
+            async for line in self._lines(reader):
                 while self.is_silent:
                     await asyncio.sleep(0.05)
-                answers = await self._answer(line.decode().rstrip('\r\n'), session)
-                if random.random() < self.answer_loss_probability:
+                if not await self._reply(line, session, writer):
                     return
-                writer.write(''.join(f'{answer}\r\n' for answer in answers).encode())
-                await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
@@ -102,18 +117,44 @@
             with contextlib.suppress(ConnectionError):
                 writer.close()
 
+    async def _lines(self, reader: asyncio.StreamReader) -> AsyncIterator[str]:
+        """:returns: The lines that it runs; what it receives is checked against the protocol."""
+        messages = wire.LineReader(wire.PROTOCOL_END)
+        lines = wire.LineReader(wire.CARELESS_END if self.is_careless else wire.PROTOCOL_END)
+        while chunk := await reader.read(_CHUNK_BYTES):
+            for message in messages.feed(chunk):
+                self._requests.check_line(self.name, message)
+            for line in lines.feed(chunk):
+                yield wire.decode(line)
+
+    async def _reply(self, line: str, session: _Session, writer: asyncio.StreamWriter) -> bool:
+        """:returns: Whether the connection goes on."""
+        answers = await self._answer(line, session)
+        if random.random() < self.answer_loss_probability:
+            return False
+        oddity = self.oddity
+        if oddity is not None and line.startswith('QUERY') and random.random() < _ODD_SHARE:
+            self._requests.tried[oddity.value] += 1
+            return await odd_answers.write(writer, answers, oddity)
+        writer.write(''.join(f'{answer}\r\n' for answer in answers).encode('utf-8', 'surrogateescape'))
+        await writer.drain()
+        return True
+
     async def _answer(self, line: str, session: '_Session') -> list[str]:
         word, _, rest = line.partition(' ')
-        if word == 'START':
+        if word == 'START' and not session.is_open:
+            session.is_open = True
+            self._requests.check_start(self.name, self.service.name, rest)
             return [self._ready()]
         request, _, text = rest.partition(' ')
+        self._requests.check_run(self.name, request, text if word == 'QUERY' else line)
         session.state = _STATES_BY_TEXT.get(text, session.state)
-        answers = await self._run(request, text)
+        answers = await self._run(request, text, session)
         return [*answers[:-1], answers[-1].replace('READY I', f'READY {session.state}')]
 
-    async def _run(self, request: str, text: str) -> list[str]:
+    async def _run(self, request: str, text: str, session: _Session) -> list[str]:
         words = text.split(' ')
-        if words[0] in {'READ', 'WRITE', 'AFTER'}:
+        if words[0] in {'READ', 'WRITE', 'AFTER', 'EXECUTE'}:
             await asyncio.sleep(_STATEMENT_S)
         if words[0] == 'AFTER':
             term, _, number = words[1].partition('.')
@@ -124,11 +165,22 @@
             return self._control(words)
         if words[0] == 'READ':
             number = max((commit.number for commit in self.log if commit.key == words[1]), default=0)
-            return [f'ROW {number}', f'DONE {self.name}.{request}', self._ready()]
+            return [f'ROW {number} {words[1]}', f'DONE {self.name}.{request}', self._ready()]
         if words[0] == 'WRITE':
-            return self._write(request, words[1], int(words[2]))
+            return self._write(request, words[1], int(words[2]) if words[2:] and words[2].isdecimal() else 0)
+        if words[0] == 'EXECUTE' and words[1] not in session.shapes_by_name:
+            return [f'ERROR NOSTMT {words[1]}', self._ready()]
+        if words[0] in {'EXECUTE', 'COMMIT'}:
+            return [f'DONE {self.name}.{request}', self._ready()]
+        self._keep_shape(words, session)
         return ['DONE -', self._ready()]
 
+    def _keep_shape(self, words: list[str], session: _Session) -> None:
+        if words[0] == 'PREPARE':
+            session.shapes_by_name[words[1]] = ' '.join(words[2:])
+        elif words[0] == 'RESET':
+            session.shapes_by_name.clear()
+
     def _write(self, request: str, key: str, number: int) -> list[str]:
         if not self.is_primary:
             return [f'ERROR READONLY {self.name}', self._ready()]
@@ -178,6 +230,14 @@
             asyncio.get_running_loop().call_later(0.1, self._complete_promotion, candidate)
         return True
 
+    async def answer_oddly(self, oddity: odd_answers.Oddity, for_s: float) -> None:
+        """Let some of the answers of all its databases be odd for a while."""
+        for database in self.databases:
+            database.oddity = oddity
+        await asyncio.sleep(for_s)
+        for database in self.databases:
+            database.oddity = None
+
     def _complete_promotion(self, candidate: Database) -> None:
         if not candidate.is_up or candidate.is_primary:
             return
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -4,6 +4,8 @@
 import math
 from typing import Final
 
+from features.soak.requests import Requests
+
 #: Error codes which state that no effect of the attempt is kept.
 NOT_KEPT_CODES: Final = frozenset(('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISDIRECT', 'TOOMANY'))
 
@@ -30,10 +32,12 @@
     """Checks each event against the earlier ones.
 
     :ivar violations: Guarantees that were violated, each as its name and a description.
+    :ivar requests: Compares what callers send with what databases run.
     """
 
     def __init__(self) -> None:
         self.violations: list[str] = []
+        self.requests = Requests(self._report_violation)
         self.served = 0
         self.refused: dict[str, int] = {}
         self.last_served_at = 0.0
--- a/features/soak/instances.py
+++ b/features/soak/instances.py
@@ -1,6 +1,7 @@
 """Processes of the programs under test: start, signals and readiness. No other process is ever signalled."""
 
 import asyncio
+import datetime
 import json
 import os
 import pathlib
@@ -49,6 +50,7 @@
         self._readiness_port = reserve_port()
         self._peer_port = reserve_port()
         self._process: asyncio.subprocess.Process | None = None
+        self._start_count = 0
 
     @property
     def is_stable(self) -> bool:
@@ -61,6 +63,12 @@
             return None
         return self._process.returncode
 
+    def run_number(self) -> int | None:
+        """:returns: How often it was started; nothing if it does not run or is being ended."""
+        if self._process is None or self._process.returncode is not None or self.is_stopping:
+            return None
+        return self._start_count
+
     async def prepare(self) -> None:
         """Start the proxies of the instance and write its settings."""
         await self.proxy.start()
@@ -86,6 +94,7 @@
                 sys.executable, str(self.checkout / 'deploy/fescuequayd.py'), env=environment, stdout=log, stderr=log
             )
         self.is_stopping = False
+        self._start_count += 1
 
     async def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
@@ -116,6 +125,12 @@
         lines = (self._folder / f'{self.name}.log').read_text(errors='replace').splitlines()
         return max((line for line in lines if ' event=duty_taken ' in line), default='')
 
+    def has_moved_callers(self, since: float) -> bool:
+        """:returns: Whether it has closed idle sessions after a Unix time, so that their callers go elsewhere."""
+        lines = (self._folder / f'{self.name}.log').read_text(errors='replace').splitlines()
+        moments = (line.split(' ')[0] for line in lines if ' event=callers_moved ' in line)
+        return any(datetime.datetime.fromisoformat(moment).timestamp() >= since for moment in moments)
+
     def hold_paths(self, *, is_held: bool) -> None:
         """Hold what passes between the instance and the platform, or deliver what was held."""
         for proxy in (self.proxy, self.promoter_proxy):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,8 +5,10 @@
 
 from behave import then, when
 
+from features import smuggling, soak_events
 from features.soak.__main__ import Soak
 from features.soak.history import Commit, History
+from features.soak.odd_answers import Oddity
 
 
 def _commit(*, is_by_current_primary: bool = True) -> Commit:
@@ -23,7 +25,9 @@
 @when("{what} happens in the soak's history")
 def step_event(context: Any, what: str) -> None:
     history = _acknowledged(is_by_current_primary='replaced primary' not in what)
-    if 'runs twice' in what:
+    if what in soak_events.VIOLATIONS_BY_NAME:
+        soak_events.VIOLATIONS_BY_NAME[what](history)
+    elif 'runs twice' in what:
         history.record_commit(_commit())
     elif 'reported' in what:
         history.record_refusal('q1', 'BUSY')
@@ -78,6 +82,12 @@
     assert not context.soak_history.violations, context.soak_history.violations
 
 
+@when('a database runs what callers sent')
+def step_asked(context: Any) -> None:
+    context.soak_history = History()
+    soak_events.run_what_was_sent(context.soak_history)
+
+
 @when('faults are injected into three processes for {seconds:g} s by the schedule of seed {seed:d}')
 def step_soak(context: Any, seconds: float, seed: int) -> None:
     context.soak = Soak(seed, seconds, 3)
@@ -89,3 +99,11 @@
     history = context.soak.history
     assert not history.violations, (history.violations, context.soak.faults, context.soak.folder)
     assert history.served > 0, history.refused
+
+
+@then('callers sent requests inside fields and under reserved ids, and databases answered oddly')
+def step_tried(context: Any) -> None:
+    tried = context.soak.history.requests.tried
+    assert any(tried[f'sessions with {shape.name}'] for shape in smuggling.short_messages()), tried
+    assert any(tried[f'requests under the id {reserved!r}'] for reserved in ('', '-')), tried
+    assert any(tried[oddity.value] for oddity in Oddity), tried
