Cut what rude callers of the soak send behind bytes that may end a line, too

A cut between CR and LF was as rare as any other one; half of the cuts are now behind a CR, LF or NUL.

--- a/features/soak/rude_callers.py
+++ b/features/soak/rude_callers.py
@@ -142,7 +142,7 @@
 
     async def _send(self, session: socket.socket, script: _Script) -> None:
         sent = self._requests.open_session()
-        cuts = sorted(self._rng.randrange(len(script.raw)) for _ in range(self._rng.choice(_CHUNK_COUNTS) - 1))
+        cuts = sorted(self._choose_cut(script.raw) for _ in range(self._rng.choice(_CHUNK_COUNTS) - 1))
         # The instance may close the connection after the unusual message; its earlier answers can still be read.
         with contextlib.suppress(OSError):
             for start, end in itertools.pairwise((0, *cuts, len(script.raw))):
@@ -150,6 +150,11 @@
                 await asyncio.get_running_loop().sock_sendall(session, script.raw[start:end])
                 await asyncio.sleep(self._rng.uniform(0, _CHUNK_PAUSE_S))
 
+    def _choose_cut(self, raw: bytes) -> int:
+        """:returns: Any place, or often one behind a byte that may be taken for the end of a line."""
+        ends = [found.end() for found in wire.CARELESS_END.finditer(raw)]
+        return self._rng.choice((self._rng.randrange(len(raw)), self._rng.choice(ends)))
+
     def _end_unfinished(self, session: socket.socket) -> None:
         """Reset the connection, end it, or leave it silent."""
         ending = self._rng.randrange(3)
