Let a gateway report an unreadable answer as an answer, not as a lost target

One unreadable row paused its target at the instance that had asked through a gateway, against the rule for instances with connections of their own: 3 failures, paused for 0.85 to 1.56 s (found by review). The gateway said that the target was lost; it says now that the outcome is unknown, or, if nothing but session state was sent, that nothing ran. The scenario failed before.

--- a/features/odd_answers.feature
+++ b/features/odd_answers.feature
@@ -52,3 +52,7 @@
     Given a session of an organisation with 3 tokens in stock
     When it writes in a transaction and sends what can't be decoded
     Then the connection was given back once
+
+  Scenario: An answer at a gateway that can't be read does not count as a lost target
+    When the target of a gateway answers a read with what can't be read
+    Then the instance that asked gets it as an answer with an unknown outcome, and the gateway goes on using the target
--- a/features/steps/odd_answer_steps.py
+++ b/features/steps/odd_answer_steps.py
@@ -4,17 +4,20 @@
 import contextlib
 import time
 from typing import Any
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
 
 from features import gateway_builders, line_ends, odd_answers
+from features.gateway_bench import GatewayBench
 from fescuequay_core.relay import refusals
 from fescuequay_core.relay.model import Statement, StatementKind
 from fescuequay_core.types import RequestId
 from fescuequay_emulator.callers import ModelCaller
-from fescuequay_entry.relay.hop_frames import FrameDecoder, Ping, UnsendableFrame, encode
-from fescuequay_entry.relay.ports import BadMessage, Outcome, TargetLost
+from fescuequay_emulator.connections import ModelConnection
+from fescuequay_entry.relay.hop_frames import Fate, FrameDecoder, Ping, UnsendableFrame, encode
+from fescuequay_entry.relay.ports import BadMessage, Outcome, TargetLost, UnreadableAnswer
 from fescuequay_platform.connections import LineTarget
 
 _READ = Statement(StatementKind.READ, 'READ x')
@@ -161,3 +164,23 @@
 def step_behind(context: Any) -> None:
     frames = list(FrameDecoder().feed(context.sent))
     assert isinstance(frames[-1], Ping), frames
+
+
+@when("the target of a gateway answers a read with what can't be read")
+def step_gateway(context: Any) -> None:
+    context.bench = GatewayBench()
+
+    async def ask(bench: GatewayBench) -> None:
+        unreadable = mock.AsyncMock(side_effect=UnreadableAnswer('a line feed inside a message'))
+        with mock.patch.object(ModelConnection, 'execute', unreadable):
+            await bench.send(bench.ask(1))
+
+    context.bench.run(ask)
+
+
+@then('the instance that asked gets it as an answer with an unknown outcome, and the gateway goes on using the target')
+def step_gateway_answer(context: Any) -> None:
+    (answer,) = context.bench.link.answers
+    assert answer.fate is Fate.ANSWERED and answer.refusal().reason is refusals.LOST, answer
+    board = context.bench.instance.board
+    assert board.health_of(context.bench.primary).is_usable(board.clock())
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -219,6 +219,11 @@
         except TargetSilent as error:
             # The path from here may be at fault: the sender tries another one before it takes the target for silent.
             answer = Answer(ask.number, Fate.TURNED_AWAY, detail=str(error))
+        except UnreadableAnswer as error:
+            # An answer of the target, by which the other instance judges it; a lost connection would pause it there.
+            is_sent = ask.number in self._sent_numbers
+            fate, reason = (Fate.ANSWERED, refusals.LOST) if is_sent else (Fate.REFUSED, refusals.TARGET_BUSY)
+            answer = Answer(ask.number, fate, reason=reason.code, detail=str(error))
         except (TargetLost, TimeoutError) as error:
             fate = Fate.LOST if ask.number in self._sent_numbers else Fate.NOT_SENT
             answer = Answer(ask.number, fate, detail=str(error) or 'the target did not answer in time')
