--- a/features/smuggling.py
+++ b/features/smuggling.py
@@ -33,6 +33,7 @@
     'the id and the text of a request': b'QUERY %(id)s%(inner)s',
     'an unknown kind': b'NOTICE %(id)s%(inner)s',
     'the end of a session': b'BYE%(inner)s',
+    'a second opening': b'START db secret%(inner)s',
     'an unknown statement': b'QUERY %(id)s JUMP %(key)s%(inner)s',
 }
 
