Name a gateway's connection to the target in the asking instance's lines, and the size of refused messages

An answer of a gateway carries the name of its connection now, a field at the end that earlier builds skip; refused names the size of its message, and statements at paced targets their connection. A scenario compares the lines with the bytes that a caller sent and the connections that the target saw. The stand-ins of the platform move to a module of their own.

--- a/features/framing.feature
+++ b/features/framing.feature
@@ -29,6 +29,13 @@
     When a target answers a statement and sends a part of another message
     Then the statement has its answer, and the connection can't be used again
 
+  @real
+  Scenario: The log leads from what a target ran to the session, and to the bytes of the message in it
+    Given a real instance whose target takes LF, CR and NUL for the end of a line
+    When a caller sends several statements in one go, the last of them with a line feed inside
+    Then each line about them names the caller, and the bytes of the message in what the caller sent
+    And each statement that ran names the connection that the target saw
+
   @real
   Scenario: A connection that its target leaves within a transaction is used for no other statement
     Given a real instance whose target takes LF, CR and NUL for the end of a line
--- a/features/odd_answers.py
+++ b/features/odd_answers.py
@@ -5,7 +5,8 @@
 from typing import Any, Final
 from unittest import mock
 
-from features.relay_processes import Deployment, PlatformStandIn
+from features.platform_standin import PlatformStandIn
+from features.relay_processes import Deployment
 from features.steps import token_charge_steps
 from fescuequay_core.relay.model import Credential, SessionState, Statement, StatementKind
 from fescuequay_core.types import RequestId
--- a/features/relay_processes.py
+++ b/features/relay_processes.py
@@ -1,213 +1,32 @@
 """A real instance process with the platform's adapters, and stand-ins for the platform on loopback."""
 
-import asyncio
-import base64
 import contextlib
 import json
 import os
 import pathlib
-import re
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-import threading
 import time
-from typing import Any
 from urllib.request import urlopen
 
-from aiohttp import web
-
-from features import odd_entries, smuggling
+from features import smuggling
+from features.platform_standin import HOST, TIMEOUT_S, PlatformStandIn
 from features.ports import reserve_port
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
-_HOST = '127.0.0.1'
-_TIMEOUT_S = 15.0
 
-_MAX_MESSAGE_BYTES = 1_048_576
 _KB_PER_MB = 1024
 
-#: What a careless target may take for the end of a line.
-_LINE_END = re.compile(b'\\r\\n|[\\r\\n\\0]')
-
-_CONFIG = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'r',
-            'host': 'db',
-            'route_type': 'primary',
-            'service': 'svc',
-            'timeout_ms': 1000,
-            'target_latency_ms': 400,
-        }
-    ],
-    'services': [{'name': 'svc', 'max_conns': 20, 'sync_replicas': 0}],
-    'tenants': [
-        {'name': 'org', 'api_keys': ['secret'], 'rate_per_s': 50, 'burst': 50},
-        {'name': 'bulk', 'api_keys': ['bulk-key'], 'rate_per_s': 5000, 'burst': 5000},
-    ],
-    'limits': {'tx_idle_ms': 3000},
-}
-
-
 #: Pause between two sessions that are watched, in seconds; less than the rate of their organisation allows.
 _PAUSE_S = 0.05
 
-#: Item after which the database says that a transaction is open, though none was begun.
-LEFT_OPEN = 'left-open'
-
 #: Time for which a caller waits for the answers to a message with a request inside, in seconds.
 _SMUGGLING_WAIT_S = 0.3
 
 
-class PlatformStandIn:
-    """Stands in for one database and for the calls of the metadata store that one instance makes."""
-
-    def __init__(self) -> None:
-        self.store_port = reserve_port()
-        self.database_port = reserve_port()
-        self._rows: dict[tuple[str, str], tuple[str, int]] = {}
-        self._version = 0
-        self._items: dict[str, str] = {}
-        self._commits = 0
-        #: Ids and texts of the statements that the database ran, and on which of its connections.
-        self.ran: list[tuple[str, str]] = []
-        self.connections: list[int] = []
-        self._connection_count = 0
-        self._late_entries: dict[str, bytes] = {}
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        entry = {
-            'service': 'svc',
-            'address': f'{_HOST}:{self.database_port}',
-            'zone': 'z',
-            'state': 'ready',
-            'db_role': 'primary',
-            'born': 1,
-            'seq': 1,
-            'slots': 4,
-        }
-        self._put('op', 'config', json.dumps(_CONFIG).encode())
-        self._put('servers', 'i-1', json.dumps(entry).encode())
-
-    def add_odd_entries(self) -> None:
-        """Let another writer leave odd entries, some of which come while the instance runs."""
-        self._put('op', 'config', odd_entries.with_odd_entries(_CONFIG))
-        for number, raw in enumerate(odd_entries.ENTRIES_BY_NAME.values()):
-            self._put('servers', f'odd-{number}', raw)
-            self._late_entries[f'late-{number}'] = raw
-        for number, raw in enumerate(odd_entries.OWN_ROWS_BY_NAME.values()):
-            for kind in ('leader', 'member'):
-                self._put('fescuequay', f'0/{kind}/odd-{number}', raw)
-
-    def start(self) -> None:
-        """Start the listeners in a thread of their own."""
-        self._thread.start()
-        asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result(_TIMEOUT_S)
-
-    def close(self) -> None:
-        """Stop the listeners and their thread."""
-        asyncio.run_coroutine_threadsafe(self._end(), self._loop).result(_TIMEOUT_S)
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(_TIMEOUT_S)
-        self._loop.close()
-
-    async def _listen(self) -> None:
-        application = web.Application()
-        application.router.add_get('/rows-get', self._get)
-        application.router.add_get('/rows-feed', self._feed)
-        application.router.add_post('/rows-tx', self._transact)
-        self._runner = web.AppRunner(application)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, _HOST, self.store_port).start()
-        self._server = await asyncio.start_server(self._serve, _HOST, self.database_port, limit=2 * _MAX_MESSAGE_BYTES)
-
-    async def _end(self) -> None:
-        self._server.close()
-        await self._runner.cleanup()
-        others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
-        for task in others:
-            task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
-
-    def _put(self, table: str, key: str, raw: bytes) -> None:
-        self._rows[table, key] = (base64.b64encode(raw).decode(), self._version)
-
-    def _answer(self, rows: list[dict[str, Any]], status: int = 200) -> web.Response:
-        return web.json_response({'rows': rows, 'ver': self._version, 'now_ms': 1, 'more_pages': False}, status=status)
-
-    def _row(self, table: str, key: str) -> dict[str, Any]:
-        value, version = self._rows[table, key]
-        return {'table': table, 'part': '', 'key': key, 'value': value, 'ver': version}
-
-    async def _get(self, request: web.Request) -> web.Response:
-        table = request.query['table']
-        return self._answer([self._row(*name) for name in sorted(self._rows) if name[0] == table])
-
-    async def _feed(self, request: web.Request) -> web.Response:
-        table = request.query['table']
-        if table == 'servers' and self._late_entries:
-            self._version += 1
-            late, self._late_entries = self._late_entries, {}
-            for key, raw in late.items():
-                self._put(table, key, raw)
-            return self._answer([self._row(table, key) for key in late])
-        await asyncio.sleep(int(request.query['wait_ms']) / 1000)
-        return self._answer([])
-
-    async def _transact(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        for row in body['precondition']:
-            name = (row['table'], row['key'])
-            if self._rows.get(name, ('', 0))[1] != row['ver']:
-                return self._answer([self._row(*name)] if name in self._rows else [], 412)
-        self._version += 1
-        for row in body['puts']:
-            self._rows[row['table'], row['key']] = (row['value'], self._version)
-        for row in body['deletes']:
-            self._rows.pop((row['table'], row['key']), None)
-        return self._answer([])
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one database connection, like a target that takes more than CR LF for the end of a line."""
-        self._connection_count += 1
-        connection = self._connection_count
-        try:
-            while raw := await reader.readline():
-                lines = filter(None, _LINE_END.split(raw))
-                answers = (answer for line in lines for answer in self._replies_to(line.decode(), connection))
-                writer.writelines(answer.encode() + b'\r\n' for answer in answers)
-                await writer.drain()
-        except ConnectionError:
-            return
-        finally:
-            writer.close()
-
-    def _replies_to(self, line: str, connection: int) -> list[str]:
-        word, _, rest = line.partition(' ')
-        ready = f'READY I 1.{self._commits}'
-        if word == 'START':
-            assert 'secret' not in rest, 'a key was forwarded to the database'
-            return [ready]
-        request, _, text = rest.partition(' ')
-        self.ran.append((request, text))
-        self.connections.append(connection)
-        words = text.split(' ')
-        if words[0] == 'STATUS':
-            return [f'ROW primary 1 1.{self._commits} 0 0 0 1', 'DONE -', ready]
-        if words[0] == 'WRITE':
-            self._commits += 1
-            self._items[words[1]] = ' '.join(words[2:])
-            return [f'DONE i-1.{request}', f'READY I 1.{self._commits}']
-        if words[0] == 'READ':
-            state = 'T' if words[1] == LEFT_OPEN else 'I'
-            return [f'ROW {self._items.get(words[1], "")}', f'DONE i-1.{request}', f'READY {state} 1.{self._commits}']
-        return ['DONE -', ready]
-
-
 class Deployment:
     """One real instance process and its stand-ins."""
 
@@ -232,12 +51,12 @@
         settings = {
             'instance': 'front-1',
             'data_centre': 'z',
-            'host': _HOST,
-            'callers': f'{_HOST}:{self._ports["callers"]}',
-            'readiness': f'{_HOST}:{self._ports["readiness"]}',
+            'host': HOST,
+            'callers': f'{HOST}:{self._ports["callers"]}',
+            'readiness': f'{HOST}:{self._ports["readiness"]}',
             'peer_ports': [self._ports['peers'], self._ports['peers']],
-            'store': f'{_HOST}:{self._standin.store_port}',
-            'promoter': f'{_HOST}:1',
+            'store': f'{HOST}:{self._standin.store_port}',
+            'promoter': f'{HOST}:1',
             'stop_s': 4.0,
         }
         path.write_text('// Settings of a test.\n' + json.dumps(settings))
@@ -270,7 +89,7 @@
 
     def send_raw(self, listener: str, raw: bytes) -> None:
         """Send bytes to a listener, and wait until it answers, closes or times out."""
-        with socket.create_connection((_HOST, self._ports[listener]), timeout=5) as sender:
+        with socket.create_connection((HOST, self._ports[listener]), timeout=5) as sender:
             sender.settimeout(0.3)
             with contextlib.suppress(OSError):
                 sender.sendall(raw)
@@ -298,6 +117,11 @@
             self._await_reuse(caller)
             return [self._read_connection(caller, item) for item in items]
 
+    def peers_of(self, request: str) -> set[str]:
+        """:returns: Addresses from which the database got a request."""
+        ran = zip(self._standin.ran, self._standin.connections, strict=True)
+        return {self._standin.peers[connection] for (known, _), connection in ran if known == request}
+
     def open_session(self, key: str = 'secret', receive_bytes: int | None = None) -> socket.socket:
         """:returns: An open session of a caller, for which the kernel keeps about this many unread bytes."""
         return self._open(f'START db {key}', receive_bytes)
@@ -352,10 +176,10 @@
         self._folder.cleanup()
 
     def _await_ready(self) -> None:
-        deadline = time.monotonic() + _TIMEOUT_S
+        deadline = time.monotonic() + TIMEOUT_S
         while time.monotonic() < deadline:
             try:
-                with urlopen(f'http://{_HOST}:{self._ports["readiness"]}/readiness', timeout=1):
+                with urlopen(f'http://{HOST}:{self._ports["readiness"]}/readiness', timeout=1):
                     return
             except OSError:
                 time.sleep(0.05)
@@ -363,7 +187,7 @@
 
     def _await_primary(self, caller: socket.socket) -> None:
         """Wait until the first leader record is written; until then statements are refused as not run."""
-        deadline = time.monotonic() + _TIMEOUT_S
+        deadline = time.monotonic() + TIMEOUT_S
         while time.monotonic() < deadline:
             if not self._ask(caller, 'QUERY a0 READ none', 1)[0].startswith('ERROR'):
                 self._lines(caller, 2)
@@ -374,7 +198,7 @@
 
     def _await_reuse(self, caller: socket.socket) -> None:
         """Wait until connections are kept after use; for some seconds after its start an instance closes them."""
-        deadline = time.monotonic() + _TIMEOUT_S
+        deadline = time.monotonic() + TIMEOUT_S
         while self._read_connection(caller, 'warm') != self._read_connection(caller, 'warm'):
             assert time.monotonic() < deadline, 'no connection was used twice'
             time.sleep(0.2)
@@ -391,7 +215,7 @@
         caller.settimeout(5)
         if receive_bytes is not None:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-        caller.connect((_HOST, self._ports['callers']))
+        caller.connect((HOST, self._ports['callers']))
         assert self._ask(caller, opening, 1) == ['READY I -']
         return caller
 
@@ -399,7 +223,7 @@
         if caller is not None:
             caller.sendall(line.encode() + end)
             return self._lines(caller, count)
-        with socket.create_connection((_HOST, self._ports['callers']), timeout=5) as once:
+        with socket.create_connection((HOST, self._ports['callers']), timeout=5) as once:
             once.sendall(line.encode() + end)
             lines = self._lines(once, count)
             assert once.recv(1) == b'', 'the refused session was not closed'
--- a/features/steps/framing_steps.py
+++ b/features/steps/framing_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features import line_ends, line_model, relay_processes, smuggling
+from features import line_ends, line_model, platform_standin, relay_processes, smuggling
 from fescuequay_core.relay.model import Statement, StatementKind
 from fescuequay_platform.codec import LineDecoder, Message, WireError
 
@@ -202,9 +202,48 @@
     assert outcome is not None and outcome.rows == ['v'] and not connection.is_open
 
 
+@when('a caller sends several statements in one go, the last of them with a line feed inside')
+def step_traced(context: Any) -> None:
+    context.world.await_primary()
+    context.messages_by_name = {
+        't1': b'QUERY t1 READ x\r\n',
+        't2': b'QUERY t2 WRITE x \xc3\xa9 y\r\n',
+        't3': b'QUERY t3 JUMP x\r\n',
+        't4': b'QUERY t4 COMMIT\r\n',
+        '': b'QUERY t5 READ x\n',
+    }
+    with context.world.open_session() as caller:
+        context.caller = '{0}:{1}'.format(*caller.getsockname())
+        caller.sendall(b''.join(context.messages_by_name.values()) + b'QUERY t6 READ x\r\n')
+        caller.makefile('rb').read()
+
+
+def _pairs_of(context: Any) -> list[dict[str, str]]:
+    lines = [line for line in context.world.output() if f'session={context.caller}' in line]
+    return [dict(pair.split('=', 1) for pair in line.split(' ') if '=' in pair) for line in lines]
+
+
+@then('each line about them names the caller, and the bytes of the message in what the caller sent')
+def step_extents(context: Any) -> None:
+    sent = b'START db secret\r\n' + b''.join(context.messages_by_name.values())
+    found = [
+        sent[int(pairs['offset']) : int(pairs['offset']) + int(pairs['size'])]
+        for pairs in _pairs_of(context)
+        if 'offset' in pairs
+    ]
+    assert found == list(context.messages_by_name.values()), found
+
+
+@then('each statement that ran names the connection that the target saw')
+def step_connection(context: Any) -> None:
+    served = [pairs for pairs in _pairs_of(context) if pairs['event'] == 'served']
+    assert [pairs['request'] for pairs in served] == ['t1', 't2'], served
+    assert all(context.world.peers_of(pairs['request']) == {pairs['connection']} for pairs in served), served
+
+
 @when('a caller reads an item after which the target says that a transaction is open, and then another one')
 def step_left_open(context: Any) -> None:
-    context.connections = context.world.read_in_turn(['first', relay_processes.LEFT_OPEN, 'next'])
+    context.connections = context.world.read_in_turn(['first', platform_standin.LEFT_OPEN, 'next'])
 
 
 @then('the two reads ran on different connections')
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -32,6 +32,8 @@
 class SlowConnection:
     """Connection that answers every statement after a fixed delay."""
 
+    name = '-'
+
     def __init__(self, after_s: float) -> None:
         self.sent = 0
         self.is_open = True
--- a/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/gateway.py
@@ -260,7 +260,7 @@
             raise
         finally:
             self._finish(ask, lease, state)
-        return self._answer_of(ask, target, outcome)
+        return self._answer_of(ask, target, outcome, lease.pooled.connection.name)
 
     def _finish(self, ask: Ask, lease: GatewayLease, state: SessionState | None) -> None:
         """Release the connection, unless a transaction goes on.
@@ -273,7 +273,7 @@
             self._leases_by_number.pop(ask.lease, None)
             lease.pooled.source.release(lease.pooled, is_clean=state is SessionState.IDLE)
 
-    def _answer_of(self, ask: Ask, target: TargetDescription, outcome: Outcome) -> Answer:
+    def _answer_of(self, ask: Ask, target: TargetDescription, outcome: Outcome, connection: str) -> Answer:
         pool = self._gateway.pools.pool_of(target)
         fault = outcome.fault
         return Answer(
@@ -288,6 +288,7 @@
             None if fault is None else fault.retry_after_s,
             pool.waiting(),
             pool.available(),
+            connection,
         )
 
     def _target_of(self, ask: Ask) -> TargetDescription:
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_connection.py
@@ -194,6 +194,8 @@
 
     def _outcome(self, answer: Answer) -> Outcome:
         self.position = position_of(answer.position)
+        if answer.connection:
+            self.name = f'{self._peer.member.instance}/{answer.connection}'
         if answer.state is SessionState.IDLE:
             # The gateway has taken its connection back.
             self._lease = 0
--- a/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/hop_frames.py
@@ -164,6 +164,7 @@
     :param retry_after_s: Time after which a new try may succeed, in seconds.
     :param waiting: Number of statements that wait for the target.
     :param available: Number of connections that are free or may be opened.
+    :param connection: Name of the connection on which the target answered; empty in frames of earlier builds.
     """
 
     number: Natural
@@ -177,6 +178,7 @@
     retry_after_s: float | None = None
     waiting: Natural = 0
     available: Natural = 0
+    connection: str = ''
 
     def refusal(self) -> Refused:
         """:returns: The refusal; one with an unknown code may have run, unless the statement was not sent."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/paced.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/paced.py
@@ -27,6 +27,11 @@
         self._connection = connection
         self._pacing = pacing
 
+    @property
+    def name(self) -> str:  # type: ignore[override]
+        """:returns: Name of the connection in logs."""
+        return self._connection.name
+
     @property
     def is_open(self) -> bool:  # type: ignore[override]
         """:returns: Whether it can be used."""
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -279,6 +279,7 @@
                 request=query.request,
                 session=self._caller.peer,
                 offset=query.extent.offset,
+                size=query.extent.size,
                 kind=query.statement.kind.value,
                 database=self._database,
                 reason=outcome,
