--- a/features/steps/token_charge_steps.py
+++ b/features/steps/token_charge_steps.py
@@ -23,6 +23,7 @@
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.ports import Opening, Query
 from fescuequay_entry.relay.session import Session
+from fescuequay_entry.relay.session_buffers import SessionBuffers
 
 ORGANISATION = OrganisationId('o')
 DATABASE = DatabaseName('menus')
@@ -58,7 +59,7 @@
     async def run() -> None:
         caller = ModelCaller()
         runner: Any = RefusingRunner(is_sent=sent == 'sent to some target')
-        session = Session(context.token_board, runner, RelayMetrics(), caller)
+        session = Session(context.token_board, runner, RelayMetrics(), SessionBuffers(None), caller)
         serving = asyncio.ensure_future(session.run())
         caller.send(Opening(DATABASE, Credential('key')))
         await caller.next_answer()
