Tell a request that no process has read from one that was left unanswered

Trace: the instance closes idle sessions in a stop; a caller that writes between its last look at the connection and the arrival of the end gets an end instead of an answer, though no process has read its request, which is what the rule counts.

The check counts an end without that reset, as before, so each request that a process read and left is still a violation.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -1,8 +1,10 @@
 """Callers on real sockets: each session writes increasing numbers to a key of its own and reads it back."""
 
 import asyncio
+import errno
 import random
 import secrets
+import socket
 import time
 from typing import Final
 
@@ -22,6 +24,9 @@
 #: Pause between two statements of a transaction, in seconds.
 TRANSACTION_PAUSE_S: Final = 1.0
 
+#: Time within which the kernel has reset a connection whose other end was closed before a request came, in seconds.
+_RESET_WAIT_S: Final = 0.2
+
 #: Passes of the event loop after which an end of the connection that the kernel has received is known.
 _PASSES_OF_LOOP: Final = 2
 
@@ -146,10 +151,17 @@
         raw = await self._reader.readline()
         if raw:
             return raw.decode().rstrip('\r\n')
-        if request != '-' and self._process.is_stopping and self._process.is_stable:
+        if request != '-' and self._process.is_stopping and self._process.is_stable and not await self._was_unread():
             self._history.record_unanswered(self._process.name, request)
         raise ConnectionResetError
 
+    async def _was_unread(self) -> bool:
+        """:returns: Whether the request came after the close, so that the kernel reset what no process has read."""
+        assert self._writer is not None
+        await asyncio.sleep(_RESET_WAIT_S)
+        error: int = self._writer.get_extra_info('socket').getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error in {errno.EPIPE, errno.ECONNRESET}
+
 
 class BoundedReader(Caller):
     """Reads what another caller writes, on a route that accepts data of some age."""
