--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -62,3 +62,8 @@
   Scenario: Every hunted schedule has a held promotion, and transactions on a primary that is replaced
     When the schedules of seeds 1 to 20 are drawn for a hunt
     Then each has both faults, and their variants all occur
+
+  # Guards against thousands of status requests a second at the targets of a service that is to be led again.
+  Scenario: A coordinator whose lease has run out for now pauses before it asks the targets again
+    When a coordinator whose lease has run out, and that may still renew it, is to request a promotion
+    Then it has requested none, and has paused
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -6,6 +6,7 @@
 import textwrap
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
+from unittest import mock
 
 from behave import given, then, when
 
@@ -26,6 +27,7 @@
 from fescuequay_entry.relay.hops import HopReceiver
 from fescuequay_entry.relay.http_client import HttpClient
 from fescuequay_entry.relay.ports import PromoteResult
+from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_platform.connections import LineDriver
 from fescuequay_platform.store import PlatformPromoter
 
@@ -313,3 +315,21 @@
     assert variants >= {(TRANSACTIONS_KIND, ''), (TRANSACTIONS_KIND, 'cut')}, variants
     for faults in context.schedules:
         assert {HOLD_KIND, TRANSACTIONS_KIND} <= {fault.kind for fault in faults}, faults
+
+
+@when('a coordinator whose lease has run out, and that may still renew it, is to request a promotion')
+def step_run_out(context: Any) -> None:
+    board, promoter = mock.MagicMock(), mock.AsyncMock()
+    board.lease.holds.return_value = False
+    board.permits.record.return_value = None
+    replacement = Replacement(board, *(mock.AsyncMock() for _ in range(3)), promoter)
+    context.sleep = mock.AsyncMock()
+    with mock.patch('asyncio.sleep', context.sleep):
+        asyncio.run(replacement._request_promotion(mock.MagicMock(), mock.MagicMock(), {}))
+    context.promoter = promoter
+
+
+@then('it has requested none, and has paused')
+def step_paused(context: Any) -> None:
+    assert not context.promoter.promote.called
+    context.sleep.assert_awaited_once()
--- a/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/replacement.py
@@ -345,6 +345,7 @@
         lease = self._board.lease
         if not lease.holds(self._board.clock()) or lease.record is None:
             await self._check_still_coordinator(closing)
+            await asyncio.sleep(_RETRY_PAUSE_S / 2)
             return None
         token = lease.record.token
         began_at = self._board.clock()
