Reproduce a statement answered by what its target sent before, when the end followed it

What callers would see: in a transaction, a statement or COMMIT is answered with rows and a signature that the target sent before it was asked. Cause: checks for surplus bytes only while the connection has not ended; the end behind them (FIN) skips the check, the statement is sent, and the waiting message is taken for its answer. Evidence: the scenario fails: Outcome(rows=['forged'], signature='forged'), a2 was sent.

--- a/features/steps/surplus_steps.py
+++ b/features/steps/surplus_steps.py
@@ -17,10 +17,12 @@
     'another row': b'ROW forged\r\n',
     'a part of another message': b'ROW for',
     'the end of the connection': b'',
+    'another answer with the end behind it': b'ROW forged\r\nDONE forged\r\nREADY T 1.2\r\n',
 }
+_ENDS = frozenset(('the end of the connection', 'another answer with the end behind it'))
 
 
-async def _ask_twice(surplus: bytes) -> tuple[Outcome | BaseException, line_ends.MemoryTransport]:
+async def _ask_twice(surplus: bytes, *, ends: bool) -> tuple[Outcome | BaseException, line_ends.MemoryTransport]:
     """:returns: What the second statement gets, and the connection to the target."""
     protocol, transport = line_ends.connect()
     target = LineTarget(protocol)
@@ -28,7 +30,7 @@
     await asyncio.sleep(0)
     protocol.data_received(_ANSWER + surplus)
     await first
-    if not surplus:
+    if ends:
         protocol.eof_received()
     second = asyncio.ensure_future(target.execute(RequestId('a2'), Statement(StatementKind.READ, 'READ y')))
     await asyncio.sleep(0)
@@ -40,7 +42,7 @@
 
 @when('a target answers a statement, sends {what}, and is asked again on the same connection')
 def step_asked_again(context: Any, what: str) -> None:
-    context.asked = asyncio.run(_ask_twice(_SURPLUS_BY_NAME[what]))
+    context.asked = asyncio.run(_ask_twice(_SURPLUS_BY_NAME[what], ends=what in _ENDS))
 
 
 @then('the next statement is not sent and the connection is lost')
--- a/features/surplus.feature
+++ b/features/surplus.feature
@@ -14,3 +14,8 @@
   Scenario: A statement on a connection that its target has ended is lost
     When a target answers a statement, sends the end of the connection, and is asked again on the same connection
     Then the next statement gets no answer and the connection is lost
+
+  @known-red
+  Scenario: A target that sends another answer and the end behind an answer does not answer the next statement with it
+    When a target answers a statement, sends another answer with the end behind it, and is asked again on the same connection
+    Then the next statement gets no answer and the connection is lost
