Reproduce a session that is closed as idle while a part of a message has arrived

What callers see: a write whose last bytes arrive after 45% of the stop is cut without an answer, though there is time left. Cause: close_if_idle asks only for whole unread messages.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -1,6 +1,9 @@
 """Steps in which an operation waits at an instance that stops, in virtual time."""
 
 import asyncio
+import contextlib
+import threading
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -29,6 +32,9 @@
 from fescuequay_entry.relay.pool import Pools
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
+#: Time in which a part of a message arrives at an instance, in seconds.
+_ARRIVAL_S = 0.2
+
 SERVICE = ServiceId('menus')
 PRIMARY = TargetId('t1')
 
@@ -85,3 +91,24 @@
 def step_refusal(context: Any) -> None:
     assert context.refusal.reason.verdict is Verdict.NOT_RUN, context.refusal
     assert context.refusal.retry_after_s is not None and context.refusal.retry_after_s > 0, context.refusal
+
+
+@when('a caller sends a part of a write, the instance gets SIGTERM, and {pause_s:g} s later the rest comes')
+def step_part(context: Any, pause_s: float) -> None:
+    context.world.await_primary()
+    with context.world.open_session() as caller:
+        caller.sendall(b'QUERY w1 WRITE x ')
+        time.sleep(_ARRIVAL_S)
+        stopping = threading.Thread(target=context.world.stop, daemon=True)
+        stopping.start()
+        time.sleep(pause_s)
+        context.answer = b''
+        with contextlib.suppress(OSError):
+            caller.sendall(b'v\r\n')
+            context.answer = caller.recv(100)
+    stopping.join()
+
+
+@then('the caller is answered that the write is done')
+def step_done(context: Any) -> None:
+    assert context.answer.startswith(b'DONE '), context.answer
