Reproduce transactions that keep their connections while their callers read slowly

Cause: a session waits up to 10 s for its reader, and the idle time runs only while it waits for a message. A caller who reads nothing is cut after 3.3 s by TCP_USER_TIMEOUT. Evidence: the scenario fails after 6 s.

--- a/features/backlog.feature
+++ b/features/backlog.feature
@@ -57,3 +57,9 @@
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When 100 callers send a message of 1 MiB each, are answered and stay idle
     Then the instance uses at most 120 MB
+
+  @real @known-red
+  Scenario: Transactions whose callers read slowly give their connections back after the idle time
+    Given a real instance whose target takes LF, CR and NUL for the end of a line
+    When 20 callers ask for an answer of 1000000 bytes 40 times each in a transaction, and read 70000 bytes a second
+    Then after 6 s others are served again
