--- a/features/surplus.feature
+++ b/features/surplus.feature
@@ -11,3 +11,4 @@
       | another row               |
       | a part of another message |
       | the end of the connection |
+      | another answer with the end behind it |
