--- a/features/backlog.feature
+++ b/features/backlog.feature
@@ -36,13 +36,12 @@
     Then others are served within 3 s each, and the instance uses at most 120 MB
     And each of these sessions ends, and the log says which, how much it left unread and for how long
 
-  @real @known-red
+  @real
   Scenario: Other sessions are served while callers flood an instance with commits of no transaction
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When 8 callers send 1 MiB of commits at once
     Then others are served within 1 s each, and the instance uses at most 120 MB
 
-  @known-red
   Scenario Outline: A message that waits to be read counts with the memory that its <text> take
     When a message of 1 MiB of <text> arrives on a connection
     Then what the connection holds counts with at least 0.9 of its memory, and is reported
@@ -52,13 +51,13 @@
       | ASCII characters        |
       | characters beyond ASCII |
 
-  @real @known-red
+  @real
   Scenario: Idle sessions keep nothing of the messages that they sent
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When 100 callers send a message of 1 MiB each, are answered and stay idle
     Then the instance uses at most 120 MB
 
-  @real @known-red
+  @real
   Scenario: Transactions whose callers read slowly give their connections back after the idle time
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When 20 callers ask for an answer of 1000000 bytes 40 times each in a transaction, and read 70000 bytes a second
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -14,7 +14,7 @@
       | a write |
       | a read  |
 
-  @real @known-red
+  @real
   Scenario: A caller that has sent a part of a write when the stop begins is answered
     Given a real instance whose target takes LF, CR and NUL for the end of a line
     When a caller sends a part of a write, the instance gets SIGTERM, and 2.2 s later the rest comes
--- a/packages/fescuequay-entry/fescuequay_entry/relay/session.py
+++ b/packages/fescuequay-entry/fescuequay_entry/relay/session.py
@@ -15,9 +15,10 @@
     StatementKind,
 )
 from fescuequay_core.relay.refusals import Refused
-from fescuequay_core.types import Instant, OrganisationId, RequestId, TargetId
+from fescuequay_core.types import Instant, OrganisationId, TargetId
 from fescuequay_entry.relay import admission
 from fescuequay_entry.relay.board import Board, log_event
+from fescuequay_entry.relay.caller_backlog import CallerBacklog
 from fescuequay_entry.relay.metrics import RelayMetrics
 from fescuequay_entry.relay.operation import InFlightWrite, Operation, Placement
 from fescuequay_entry.relay.ports import (
@@ -34,15 +35,12 @@
     TargetLost,
     Unsendable,
 )
-from fescuequay_entry.relay.session_buffers import Holder, SessionBuffers
+from fescuequay_entry.relay.session_buffers import SessionBuffers
 from fescuequay_entry.relay.statement_runner import StatementRunner
 
 #: Timeout for the first message of a caller, in seconds; callers send it as soon as they are connected.
 _OPENING_TIMEOUT_S: Final = 5.0
 
-#: Time for which a caller may leave an answer unread, in seconds; the longest deadline of the users' callers is 10 s.
-_UNREAD_TIMEOUT_S: Final = 10.0
-
 #: Number of messages in a row that cannot be decoded after which a session ends.
 _MAX_BAD_MESSAGES: Final = 16
 
@@ -71,7 +69,7 @@
     failure: Refused | None = None
 
 
-class Session(Holder):
+class Session:
     """Serves one caller connection until either side closes it.
 
     :param board: Shared state of the instance.
@@ -90,7 +88,6 @@
         caller: CallerConnection,
     ) -> None:
         self._board = board
-        self._buffers = buffers
         self._runner = runner
         self._metrics = metrics
         self._caller = caller
@@ -102,15 +99,13 @@
         self._reported_position: LogPosition | None = None
         self._transaction: OpenTransaction | None = None
         self._basis = board.configuration_basis()
-        self._previous_request = RequestId('-')
+        self._backlog = CallerBacklog(buffers, caller, board.clock, self._organisation_label)
         self._bad_messages = 0
-        self._has_backlog = False
         self.is_busy = True
 
     async def run(self) -> None:
         """Open the session and serve its statements until the connection ends."""
         self._metrics.sessions.inc()
-        self._caller.watch_backlog(self._record_backlog)
         try:
             if await self._open():
                 await self._serve_as_active()
@@ -118,23 +113,7 @@
             self._metrics.sessions.dec()
             self._end_transaction(is_clean=False)
             self._caller.close()
-            self._buffers.forget(self)
-
-    def held_bytes(self) -> int:
-        """:returns: Number of bytes that wait to be decoded or sent."""
-        return self._caller.held_bytes()
-
-    def reset(self, reason: str) -> None:
-        """Reset the connection and discard what waits."""
-        log_event(
-            'session_reset',
-            session=self._caller.peer,
-            organisation=self._organisation_label(),
-            held_bytes=self.held_bytes(),
-            previous=self._previous_request,
-            reason=reason,
-        )
-        self._caller.abort()
+            self._backlog.forget()
 
     def close_if_idle(self) -> bool:
         """:returns: Whether the session was idle, without transaction or unread input, and has been closed."""
@@ -184,23 +163,25 @@
             self._board.buckets.add_sessions(organisation, -1)
 
     async def _serve(self) -> None:
-        while True:
-            self.is_busy = False
-            message = await self._next_message()
-            self.is_busy = True
-            if isinstance(message, Closing):
-                return
-            if isinstance(message, Query):
-                self._bad_messages = 0
-                await self._handle_query(message)
-            elif not self._refuse_bad_message(message):
-                return
-            if not await self._await_reader():
-                return
-            if not (isinstance(message, Query) and message.statement.kind not in _LOCAL_KINDS):
-                # Nothing has been waited for: other sessions go first.
+        while await self._serve_next():
+            if self._caller.has_unread():
+                # The next message may be answered without a wait, too: other sessions go first.
                 await asyncio.sleep(0)
 
+    async def _serve_next(self) -> bool:
+        """:returns: Whether the session goes on after the next message."""
+        self.is_busy = False
+        message = await self._next_message()
+        self.is_busy = True
+        if isinstance(message, Closing):
+            return False
+        if isinstance(message, Query):
+            self._bad_messages = 0
+            await self._handle_query(message)
+        elif not self._refuse_bad_message(message):
+            return False
+        return await self._await_reader()
+
     def _refuse_bad_message(self, message: BadMessage | Opening) -> bool:
         """:returns: Whether the session can continue after a malformed or unexpected message."""
         detail = message.detail if isinstance(message, BadMessage) else 'the session is already open'
@@ -215,28 +196,15 @@
     async def _await_reader(self) -> bool:
         """:returns: Whether the caller has read its answers in time, so that its next statement may run."""
         began_at = self._board.clock()
-        is_read = await self._caller.wait_until_read(_UNREAD_TIMEOUT_S)
-        unread_bytes = self._caller.unread_bytes()
-        if not unread_bytes:
-            if self._has_backlog and not self.held_bytes():
-                self._has_backlog = False
-                self._buffers.forget(self)
-            return True
-        log_event(
-            'answer_unread',
-            session=self._caller.peer,
-            organisation=self._organisation_label(),
-            previous=self._previous_request,
-            unread_bytes=unread_bytes,
-            waited_s=round(self._board.clock() - began_at, 3),
-            outcome='connection lost' if is_read else 'reset',
-        )
-        self._caller.abort()
-        return False
-
-    def _record_backlog(self) -> None:
-        self._has_backlog = True
-        self._buffers.record_backlog(self, OrganisationId(self._organisation_label()))
+        transaction = self._transaction
+        is_over = False
+        if transaction is not None and transaction.placement is not None:
+            idle_s = self._idle_transaction_s()
+            is_over = await self._backlog.wait_until_read(idle_s)
+            if not is_over:
+                self._fail_idle(transaction, idle_s)
+        is_over = is_over or await self._backlog.wait_until_read()
+        return not self._backlog.end_if_unread(began_at, is_over=is_over)
 
     def _log_bad_message(self, detail: str, extent: Extent) -> None:
         log_event(
@@ -246,7 +214,7 @@
             organisation=self._organisation_label(),
             offset=extent.offset,
             size=extent.size,
-            previous=self._previous_request,
+            previous=self._backlog.previous_request,
             detail=detail,
         )
         self._metrics.refused.labels(refusals.MALFORMED.code).inc()
@@ -255,18 +223,24 @@
         transaction = self._transaction
         if transaction is None or transaction.placement is None:
             return await self._caller.receive()
-        configuration = self._board.configuration
-        idle_s = configuration.idle_transaction_s if configuration else None
+        idle_s = self._idle_transaction_s()
         receiving = asyncio.ensure_future(self._caller.receive())
         done, _ = await asyncio.wait({receiving}, timeout=idle_s)
         if not done:
-            log_event('transaction_idle', database=self._database, idle_s=idle_s)
-            self._fail_transaction(transaction, Refused(refusals.TRANSACTION_IDLE))
+            self._fail_idle(transaction, idle_s)
         return await receiving
 
+    def _idle_transaction_s(self) -> float | None:
+        configuration = self._board.configuration
+        return configuration.idle_transaction_s if configuration else None
+
+    def _fail_idle(self, transaction: OpenTransaction, idle_s: float | None) -> None:
+        log_event('transaction_idle', session=self._caller.peer, database=self._database, idle_s=idle_s)
+        self._fail_transaction(transaction, Refused(refusals.TRANSACTION_IDLE))
+
     async def _handle_query(self, query: Query) -> None:
         began_at = self._board.clock()
-        self._previous_request = query.request
+        self._backlog.previous_request = query.request
         outcome = 'served'
         placement: Placement | None = None
         try:
