--- a/features/line_wire.py
+++ b/features/line_wire.py
@@ -53,7 +53,7 @@
     def feed(self, chunk: bytes) -> Iterator[CallerMessage]:
         """:returns: The messages that are complete."""
         self._protocol.data_received(chunk)
-        while self._caller.has_unread():
+        while self._protocol.has_unread():
             message = _run_to_first_wait(self._caller.receive())
             assert message is not None
             yield message
