--- a/features/backlog.feature
+++ b/features/backlog.feature
@@ -5,6 +5,18 @@
     When 100000 short messages arrive at once on a connection
     Then 1 message is decoded until it is read, and reading from the connection is paused
 
+  Scenario: Reading from a connection goes on when what had arrived is read
+    When 100000 short messages arrive at once on a connection
+    Then all 100000 are read in turn, and reading from the connection is not paused
+
+  Scenario: Nobody waits for a caller to read whose connection is lost
+    When a caller stops reading and its connection is lost
+    Then the wait for it ends at once, and the bytes that it never read are known
+
+  Scenario: A session that has ended does not count with the others
+    When sessions of 40 MB begin and end one after the other, with 64 MB for all
+    Then none is reset, but of two at the same time one is
+
   Scenario Outline: Sessions give way when all of them hold more than the memory for it
     When sessions hold <held> and may hold 100 together
     Then <reset> are reset
--- a/features/steps/backlog_steps.py
+++ b/features/steps/backlog_steps.py
@@ -1,5 +1,6 @@
 """Steps that test what callers cost the others who send too much, or don't read their answers."""
 
+import asyncio
 import contextlib
 import socket
 import threading
@@ -13,6 +14,7 @@
 from features import line_ends
 from fescuequay_core.relay.buffer_shares import BufferShares
 from fescuequay_core.types import OrganisationId
+from fescuequay_entry.relay.session_buffers import Holder, SessionBuffers
 from fescuequay_platform import codec
 
 _MESSAGES_BY_NAME = {'empty lines': b'\n', 'unknown kinds': b'x\r\n', 'session values': b'QUERY a SET x y\r\n'}
@@ -39,6 +41,7 @@
     with mock.patch.object(codec, '_decode_line', wraps=codec._decode_line) as decode_line:
         protocol.data_received(b'BYE\r\n' * count)
     context.decoded, context.is_paused = decode_line.call_count, transport.is_paused
+    context.protocol, context.transport = protocol, transport
 
 
 @then('{count:d} message is decoded until it is read, and reading from the connection is paused')
@@ -67,6 +70,68 @@
     assert context.is_reported
 
 
+@then('all {count:d} are read in turn, and reading from the connection is not paused')
+def step_resumed(context: Any, count: int) -> None:
+    async def read_all() -> int:
+        found = 0
+        while context.protocol.has_unread():
+            await context.protocol.receive()
+            found += 1
+        return found
+
+    assert asyncio.run(read_all()) == count
+    assert not context.transport.is_paused
+
+
+@when('a caller stops reading and its connection is lost')
+def step_lost(context: Any) -> None:
+    async def lose() -> None:
+        protocol, transport = line_ends.connect()
+        with mock.patch.object(transport, 'get_write_buffer_size', return_value=70_000):
+            protocol.pause_writing()
+        waiting = asyncio.ensure_future(protocol.wait_until_read(_RESET_WAIT_S))
+        await asyncio.sleep(0)
+        protocol.connection_lost(ConnectionResetError())
+        context.is_over = await asyncio.wait_for(waiting, 1.0)
+        context.unread_bytes = protocol.unread_bytes
+
+    asyncio.run(lose())
+
+
+@then('the wait for it ends at once, and the bytes that it never read are known')
+def step_lost_known(context: Any) -> None:
+    assert (context.is_over, context.unread_bytes) == (True, 70_000), (context.is_over, context.unread_bytes)
+
+
+class _Holder(Holder):
+    def __init__(self) -> None:
+        self.is_reset = False
+
+    def held_bytes(self) -> int:
+        return 40_000_000
+
+    def reset(self, reason: str) -> None:
+        self.is_reset = True
+
+
+@when('sessions of 40 MB begin and end one after the other, with 64 MB for all')
+def step_in_turn(context: Any) -> None:
+    buffers = SessionBuffers(None)
+    context.in_turn = [_Holder() for _ in range(3)]
+    for holder in context.in_turn:
+        buffers.record_backlog(holder, OrganisationId('o'))
+        buffers.forget(holder)
+    context.together = [_Holder(), _Holder()]
+    for holder in context.together:
+        buffers.record_backlog(holder, OrganisationId('o'))
+
+
+@then('none is reset, but of two at the same time one is')
+def step_one_reset(context: Any) -> None:
+    assert not any(holder.is_reset for holder in context.in_turn)
+    assert [holder.is_reset for holder in context.together].count(True) == 1
+
+
 @when('sessions hold {held} and may hold {limit:d} together')
 def step_held(context: Any, held: str, limit: int) -> None:
     entries = [entry.split(' ') for entry in held.split(', ')]
