--- a/features/line_ends.py
+++ b/features/line_ends.py
@@ -9,7 +9,8 @@
 from fescuequay_core.relay.refusals import Refused
 from fescuequay_core.types import RequestId, Term
 from fescuequay_entry.relay.ports import Outcome, TargetLost, Unsendable, UnsendableStatement
-from fescuequay_platform.connections import LineCaller, LineProtocol, LineTarget
+from fescuequay_platform.connections import LineCaller, LineTarget
+from fescuequay_platform.line_protocol import LineProtocol
 
 _POSITION = LogPosition(Term(1), 2)
 
--- a/features/line_wire.py
+++ b/features/line_wire.py
@@ -10,7 +10,8 @@
 from fescuequay_emulator.wire import MESSAGE_END, CallerInput, TargetCall, Wire
 from fescuequay_entry.relay.ports import CallerMessage, Opening, Outcome, Query, TargetLost
 from fescuequay_platform import statements
-from fescuequay_platform.connections import LineCaller, LineProtocol, LineTarget
+from fescuequay_platform.connections import LineCaller, LineTarget
+from fescuequay_platform.line_protocol import LineProtocol
 
 Result = TypeVar('Result')
 
--- a/features/relay_guards.py
+++ b/features/relay_guards.py
@@ -19,7 +19,7 @@
 from fescuequay_entry.relay.replacement import Replacement
 from fescuequay_entry.relay.session import Session
 from fescuequay_entry.relay.statement_runner import StatementRunner
-from fescuequay_platform import codec, connections
+from fescuequay_platform import codec, line_protocol
 from fescuequay_platform.codec import LineDecoder, Message, WireError
 
 
@@ -121,7 +121,7 @@
 @contextlib.contextmanager
 def _end_messages_anywhere() -> Iterator[None]:
     patch = mock.patch.object
-    with patch(connections, 'LineDecoder', _LineFeedDecoder), patch(Message, 'encode', _encode_unchecked):
+    with patch(line_protocol, 'LineDecoder', _LineFeedDecoder), patch(Message, 'encode', _encode_unchecked):
         yield
 
 
@@ -175,7 +175,7 @@
         'the verdict on writes that were sent': lambda: patch(
             StatementRunner, '_write_once', lambda *arguments: _claim_not_run(write_once, *arguments)
         ),
-        'the rule that CR LF alone ends a message': lambda: patch(connections, 'LineDecoder', _LineFeedDecoder),
+        'the rule that CR LF alone ends a message': lambda: patch(line_protocol, 'LineDecoder', _LineFeedDecoder),
         'that rule and the check of what is written': _end_messages_anywhere,
     }[guard]()
 
