Show a transaction committed for a tenant that no longer holds the key

Each statement of a transaction is admitted anew, but the organisation that its key belongs to by then is not compared with that of the connection.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -260,11 +260,11 @@
                 return self._error('NOSTMT', state)
             words = [shape.split(' ')[0], *words[2:]]
         if words[0] in {'READ', 'WRITE', 'COMMIT'} and request != '-':
-            self.group.on_run(request)
+            self.group.on_run(request, state['tenant'])
             await asyncio.sleep(0.008)
             self.group.record.write(
                 'database_ran', name=self.name, role='primary' if self.is_primary else 'replica', term=self.term,
-                request=request, text=text.replace(' ', '_'),
+                tenant=state['tenant'], request=request, text=text.replace(' ', '_'),
             )
         if words[0] == 'READ':
             return [f'ROW {self.items.get(words[1], "none")}', self._sign(request), self._ready(state)]
@@ -341,8 +341,8 @@
         self.primary = self.databases[0]
         self.primary.is_primary = True
         self.promotions = []
-        #: Called with the id of each request of a client that a database runs.
-        self.on_run = lambda request: None
+        #: Called with the id of each request of a client that a database runs, and the tenant of its connection.
+        self.on_run = lambda request, tenant: None
         self.led_at = time.monotonic()
 
     def next_seq(self):
