--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -50,7 +50,8 @@
         #: Machines whose calls are answered with 503, and those whose next write is done and not answered.
         self.busy_for = set()
         self.lose_next_write_of = set()
-        self.on_lost = None
+        #: Called with the machine and the path of each call that is answered with 503.
+        self.on_busy = lambda machine, path: None
         self.writes = 0
         self.lost_writes = 0
         self._servers = []
@@ -85,6 +86,7 @@
     async def _handle(self, machine, writer, method, path, query, headers, body):
         await asyncio.sleep(0.004)
         if machine in self.busy_for:
+            self.on_busy(machine, path)
             return 503, b'{}'
         if path == '/rows-get':
             names = sorted(name for name, row in self.rows.items() if name[0] == query['table'] and not row[2])
@@ -123,8 +125,6 @@
             self.lost_writes += 1
             keys = ','.join(row['key'] for row in body.get('puts', ()))
             self.record.write('store_answer_lost', machine=machine, done='yes', keys=keys)
-            if self.on_lost is not None:
-                self.on_lost(machine, body)
             writer.transport.abort()
             return None
         return self._answer([])
