--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -172,6 +172,8 @@
         self.term = 1
         self.log = []
         self.items = {}
+        #: Items whose reading gives several rows.
+        self.rows_by_item = {}
         self.is_dark = False
         self.light = asyncio.Event()
         self.light.set()
@@ -267,7 +269,8 @@
                 tenant=state['tenant'], request=request, text=text.replace(' ', '_'),
             )
         if words[0] == 'READ':
-            return [f'ROW {self.items.get(words[1], "none")}', self._sign(request), self._ready(state)]
+            rows = self.rows_by_item.get(words[1]) or [self.items.get(words[1], 'none')]
+            return [*(f'ROW {row}' for row in rows), self._sign(request), self._ready(state)]
         if words[0] == 'WRITE':
             if not self.is_primary or state['is_read']:
                 return self._error('READONLY', state)
